--- /dev/null
+++ b/include/sassafras/cluster/lease.h
@@ -0,0 +1,81 @@
+#ifndef SASSAFRAS_CLUSTER_LEASE_H_
+#define SASSAFRAS_CLUSTER_LEASE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+#include "sassafras/core/counter_table.h"
+#include "sassafras/core/id.h"
+#include "sassafras/core/result.h"
+#include "sassafras/core/time.h"
+#include "sassafras/platform/table_port.h"
+
+namespace sassafras {
+
+/// Settings of one lease.
+struct lease_options {
+  std::string key;           ///< Row of the lease, "lease/NAME".
+  process_id holder;         ///< This process.
+  std::string incarnation;   ///< Unique to this start of the process.
+  duration term{3'000'000};  ///< Length of the lease.
+  duration margin{500'000};  ///< Before its end the holder stops acting.
+};
+
+/// Ownership of something under a row of the table service. Clocks are never
+/// compared: another process takes over only after it saw the row unchanged
+/// for a whole term on its own monotonic clock. Assumes that monotonic clocks
+/// differ in rate by less than margin / term.
+///
+/// A decision object: the caller reads and commits what it asks for. Not safe
+/// for concurrent use.
+class lease {
+ public:
+  lease(lease_options options, counter_table& counters);
+
+  /// Whether the row should be read now. After it, call OnRow().
+  bool WantsRead(instant now) const;
+
+  /// Takes in the row as read by a read that was sent at `sent`, and returns
+  /// the write that takes or renews the lease, if one is due.
+  std::optional<table_write> OnRow(instant sent,
+                                   instant now,
+                                   const table_row& row);
+
+  /// Takes in the answer to the write that OnRow() returned at `sent`. An
+  /// unknown answer is settled by the next OnRow().
+  void OnCommit(instant sent, instant now, const commit_answer& answer);
+
+  /// Whether this process may act as owner at `now`, margin included.
+  bool MayAct(instant now) const;
+
+  /// Grows with each change of holder. Valid while MayAct().
+  std::uint64_t Epoch() const { return epoch_; }
+
+  /// Version of the lease row under which this process acts. A transaction
+  /// that includes Guard() fails once another process has taken over.
+  std::optional<table_write> Guard() const;
+
+  /// Holder according to the last row seen, empty if none.
+  const std::string& LastHolder() const { return seen_holder_; }
+
+  /// Gives the lease up: the returned write lets another take it at once.
+  std::optional<table_write> Release(instant now);
+
+ private:
+  lease_options options_;
+  counter_table& counters_;
+  std::uint64_t epoch_ = 0;
+  std::uint64_t row_version_ = 0;
+  std::string row_value_;
+  instant valid_until_;
+  instant next_read_;
+  bool is_held_ = false;
+  std::string seen_holder_;
+  std::uint64_t seen_version_ = 0;
+  instant seen_since_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_CLUSTER_LEASE_H_
--- /dev/null
+++ b/include/sassafras/platform/http_adapters.h
@@ -0,0 +1,37 @@
+#ifndef SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
+#define SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "sassafras/core/time.h"
+#include "sassafras/platform/http_client.h"
+#include "sassafras/platform/minion_port.h"
+#include "sassafras/platform/object_port.h"
+#include "sassafras/platform/table_port.h"
+#include "sassafras/platform/vm_list_port.h"
+#include "sassafras/platform/worker_port.h"
+
+namespace sassafras {
+
+/// Where the platform's service is and how long an operation may take.
+struct platform_options {
+  std::vector<std::string> addresses;  ///< Tried in turn.
+  duration timeout{1'500'000};
+};
+
+/// Ports over HTTP/1.1 with JSON; docs/API.md gives the paths and bodies.
+table_port MakeHttpTablePort(std::shared_ptr<http_client> client,
+                             platform_options options);
+object_port MakeHttpObjectPort(std::shared_ptr<http_client> client,
+                               platform_options options);
+vm_list_port MakeHttpVmListPort(std::shared_ptr<http_client> client,
+                                platform_options options);
+worker_port MakeHttpWorkerPort(std::shared_ptr<http_client> client,
+                               duration timeout);
+minion_port MakeHttpMinionPort(std::shared_ptr<http_client> client);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
--- /dev/null
+++ b/include/sassafras/platform/http_server.h
@@ -0,0 +1,70 @@
+#ifndef SASSAFRAS_PLATFORM_HTTP_SERVER_H_
+#define SASSAFRAS_PLATFORM_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "sassafras/core/counter_table.h"
+#include "sassafras/core/result.h"
+#include "sassafras/core/time.h"
+#include "sassafras/platform/http_types.h"
+
+namespace sassafras {
+
+/// Limits of an HTTP server.
+struct http_server_options {
+  std::string address;  ///< "IP:port" to listen on.
+  std::uint64_t max_body_bytes = 1 << 20;
+  std::uint32_t max_header_bytes = 16 << 10;
+  duration read_timeout{10'000'000};  ///< Greatest time for a whole request.
+  duration idle_timeout{60'000'000};  ///< Of a connection between requests.
+  int max_connections = 10'000;
+};
+
+/// Called when the caller of a request closed its connection early.
+using gone_handler = std::function<void()>;
+
+/// One request with the ways to answer it.
+struct http_exchange {
+  http_request request;
+  http_reply reply;  ///< Call exactly once. Ignored if the caller is gone.
+  /// Installs a handler for the caller's leaving. Call at most once.
+  std::function<void(gone_handler)> on_gone;
+};
+
+/// An HTTP/1.1 server on one address. Requests of one connection are handled
+/// one after the other.
+class http_server {
+ public:
+  using handler = std::function<void(http_exchange)>;
+
+  /// Listens, or fails with kInvalidSettings if the address cannot be bound.
+  static result<std::shared_ptr<http_server>> Make(
+      boost::asio::io_context& context,
+      http_server_options options,
+      counter_table& counters,
+      handler handle);
+
+  ~http_server();
+  http_server(const http_server&) = delete;
+  http_server& operator=(const http_server&) = delete;
+
+  /// Takes no new connection, and closes each open one after its current
+  /// answer. Returns at once; Connections() falls to 0.
+  void Drain();
+
+  /// Number of open connections.
+  int Connections() const;
+
+ private:
+  class impl;
+  explicit http_server(std::shared_ptr<impl> state);
+  std::shared_ptr<impl> impl_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PLATFORM_HTTP_SERVER_H_
--- /dev/null
+++ b/include/sassafras/platform/json_codec.h
@@ -0,0 +1,35 @@
+#ifndef SASSAFRAS_PLATFORM_JSON_CODEC_H_
+#define SASSAFRAS_PLATFORM_JSON_CODEC_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sassafras/core/result.h"
+#include "sassafras/platform/table_port.h"
+#include "sassafras/platform/vm_list_port.h"
+#include "sassafras/platform/worker_port.h"
+
+// JSON bodies of the platform's and the workers' HTTP interfaces. Unknown
+// fields are ignored. Every Decode function fails with kMalformed.
+
+namespace sassafras {
+
+std::string EncodeTransaction(const table_transaction& transaction);
+result<table_transaction> DecodeTransaction(std::string_view text);
+
+std::string EncodeRows(const std::vector<table_row>& rows);
+result<std::vector<table_row>> DecodeRows(std::string_view text);
+
+std::string EncodeVmList(const std::vector<vm_entry>& entries);
+result<std::vector<vm_entry>> DecodeVmList(std::string_view text);
+
+std::string EncodeTaskStart(const task_start& start);
+result<task_start> DecodeTaskStart(std::string_view text);
+
+std::string EncodeReports(const std::vector<task_report>& reports);
+result<std::vector<task_report>> DecodeReports(std::string_view text);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PLATFORM_JSON_CODEC_H_
--- /dev/null
+++ b/include/sassafras/platform/object_port.h
@@ -0,0 +1,33 @@
+#ifndef SASSAFRAS_PLATFORM_OBJECT_PORT_H_
+#define SASSAFRAS_PLATFORM_OBJECT_PORT_H_
+
+#include <functional>
+#include <string>
+
+#include "sassafras/platform/answer.h"
+
+namespace sassafras {
+
+/// Answer to a read of an object.
+struct object_answer {
+  answer_state state = answer_state::kNotDone;
+  bool exists = false;
+  std::string value;
+};
+
+/// The platform's object store. Each hook calls `done` exactly once.
+struct object_port {
+  /// Writes a whole object; a repeated write replaces it.
+  std::function<void(std::string name,
+                     std::string value,
+                     std::function<void(answer_state)> done)>
+      put;
+
+  /// Reads a whole object.
+  std::function<void(std::string name, std::function<void(object_answer)> done)>
+      get;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PLATFORM_OBJECT_PORT_H_
--- /dev/null
+++ b/programs/ctl/commands.h
@@ -0,0 +1,36 @@
+#ifndef SASSAFRAS_PROGRAMS_CTL_COMMANDS_H_
+#define SASSAFRAS_PROGRAMS_CTL_COMMANDS_H_
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace sassafras {
+
+/// What every command of sassafras-ctl gets.
+struct ctl_options {
+  std::vector<std::string> platform;  ///< "IP:port" of the platform's service.
+  std::vector<std::string> gateways;  ///< "IP:port" of gateways, tried in turn.
+  std::string token;                  ///< Sent as bearer token.
+  std::vector<std::string> arguments;  ///< After the command's name.
+};
+
+/// Exit codes of sassafras-ctl.
+inline constexpr int kExitOk = 0;
+inline constexpr int kExitRefused = 1;  ///< The answer was a refusal.
+inline constexpr int kExitUsage = 2;
+inline constexpr int kExitUnknown = 3;  ///< It may have taken effect.
+
+/// One command.
+struct ctl_command {
+  std::string name;
+  std::string usage;  ///< Arguments and one line of purpose.
+  std::function<int(const ctl_options&)> run;
+};
+
+/// check, publish, get, ...: what concerns configuration.
+std::vector<ctl_command> ConfigCommands();
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_CTL_COMMANDS_H_
--- /dev/null
+++ b/programs/shell/command_line.cc
@@ -0,0 +1,81 @@
+#include "programs/shell/command_line.h"
+
+#include <boost/program_options.hpp>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace sassafras {
+namespace {
+
+namespace po = boost::program_options;
+
+constexpr int kUsageError = 2;
+constexpr int kFaultySettings = 1;
+
+start_decision CheckSettings(const std::string& path, bool check_only) {
+  const auto text = ReadFile(path);
+  if (!text) {
+    std::cerr << path << ": cannot be read\n";
+    return {std::nullopt, kFaultySettings};
+  }
+  parsed_settings parsed = ParseSettings(path, *text);
+  for (const config_fault& fault : parsed.faults) {
+    std::cerr << ToString(fault) << '\n';
+  }
+  if (!parsed.faults.empty()) {
+    return {std::nullopt, kFaultySettings};
+  }
+  if (check_only) {
+    std::cout << path << ": valid\n";
+    return {std::nullopt, 0};
+  }
+  return {std::move(parsed.settings), 0};
+}
+
+}  // namespace
+
+std::optional<std::string> ReadFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) {
+    return std::nullopt;
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+start_decision ReadCommandLine(int argc,
+                               const char* const* argv,
+                               const std::string& program,
+                               const std::string& purpose) {
+  po::options_description options(program + ": " + purpose + "\nOptions");
+  options.add_options()("help", "print this text")(
+      "version", "print the version")("config", po::value<std::string>(),
+                                      "settings file (YAML)")(
+      "check-config", "check the settings file and leave");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(argc, argv, options), values);
+    po::notify(values);
+  } catch (const po::error& failure) {
+    std::cerr << program << ": " << failure.what() << "\n" << options;
+    return {std::nullopt, kUsageError};
+  }
+  if (values.count("help") > 0) {
+    std::cout << options;
+    return {};
+  }
+  if (values.count("version") > 0) {
+    std::cout << program << ' ' << SASSAFRAS_VERSION << '\n';
+    return {};
+  }
+  if (values.count("config") == 0) {
+    std::cerr << program << ": --config FILE is needed\n" << options;
+    return {std::nullopt, kUsageError};
+  }
+  return CheckSettings(values["config"].as<std::string>(),
+                       values.count("check-config") > 0);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/platform/http_client.cc
@@ -0,0 +1,354 @@
+#include "sassafras/platform/http_client.h"
+
+#include <algorithm>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <vector>
+
+#include "sassafras/config/address.h"
+#include "src/platform/socket_options.h"
+
+namespace sassafras {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+// One open connection to an address.
+struct connection {
+  explicit connection(asio::io_context& context)
+      : stream(asio::make_strand(context)) {}
+
+  beast::tcp_stream stream;
+  beast::flat_buffer buffer;
+  std::chrono::steady_clock::time_point idle_since;
+};
+
+using connection_ptr = std::unique_ptr<connection>;
+
+// A pooled connection must be open and silent: bytes on it would belong to no
+// request, and an end of stream means that the server has closed it.
+bool IsReusable(connection& pooled) {
+  if (!pooled.stream.socket().is_open() || pooled.buffer.size() > 0) {
+    return false;
+  }
+  char byte = 0;
+  const auto received = ::recv(pooled.stream.socket().native_handle(), &byte, 1,
+                               MSG_PEEK | MSG_DONTWAIT);
+  return received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}  // namespace
+
+// The pool of idle connections by address.
+class http_client::impl : public std::enable_shared_from_this<impl> {
+ public:
+  class call;
+
+  impl(asio::io_context& context,
+       http_client_options options,
+       counter_table& counters)
+      : context_(context), options_(options), counters_(counters) {}
+
+  connection_ptr TakeIdle(const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    std::vector<connection_ptr>& idle = pools_[address].idle;
+    const auto now = std::chrono::steady_clock::now();
+    while (!idle.empty()) {
+      connection_ptr taken = std::move(idle.back());
+      idle.pop_back();
+      if (now - taken->idle_since < options_.idle_limit && IsReusable(*taken)) {
+        return taken;
+      }
+      --pools_[address].open;
+      counters_.Add("client_idle_connection_dropped");
+    }
+    return nullptr;
+  }
+
+  connection_ptr OpenNew(const std::string& address) {
+    const std::lock_guard lock(mutex_);
+    ++pools_[address].open;
+    return std::make_unique<connection>(context_);
+  }
+
+  void Return(const std::string& address, connection_ptr returned) {
+    returned->idle_since = std::chrono::steady_clock::now();
+    const std::lock_guard lock(mutex_);
+    pools_[address].idle.push_back(std::move(returned));
+  }
+
+  void Drop(const std::string& address, connection_ptr dropped) {
+    beast::error_code ignored;
+    dropped->stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    dropped.reset();
+    const std::lock_guard lock(mutex_);
+    --pools_[address].open;
+  }
+
+  void Trim(const std::string& address, int keep) {
+    std::vector<connection_ptr> closing;
+    const std::lock_guard lock(mutex_);
+    pool& trimmed = pools_[address];
+    while (static_cast<int>(trimmed.idle.size()) > std::max(0, keep)) {
+      closing.push_back(std::move(trimmed.idle.front()));
+      trimmed.idle.erase(trimmed.idle.begin());
+      --trimmed.open;
+    }
+  }
+
+  int Connections(const std::string& address) const {
+    const std::lock_guard lock(mutex_);
+    const auto it = pools_.find(address);
+    return it == pools_.end() ? 0 : it->second.open;
+  }
+
+  asio::io_context& Context() { return context_; }
+  const http_client_options& Options() const { return options_; }
+  counter_table& Counters() { return counters_; }
+
+ private:
+  struct pool {
+    std::vector<connection_ptr> idle;
+    int open = 0;
+  };
+
+  asio::io_context& context_;
+  http_client_options options_;
+  counter_table& counters_;
+  mutable std::mutex mutex_;
+  std::map<std::string, pool> pools_;
+};
+
+// One request and its answer. All members are used on the strand of the
+// connection in use.
+class http_client::impl::call : public std::enable_shared_from_this<call> {
+ public:
+  call(std::shared_ptr<impl> owner,
+       std::string address,
+       duration timeout,
+       std::function<void(http_answer)> done)
+      : owner_(std::move(owner)),
+        address_(std::move(address)),
+        deadline_(std::chrono::steady_clock::now() + timeout),
+        done_(std::move(done)) {}
+
+  void Start(http_request&& request, connection_choice choice) {
+    FillMessage(std::move(request));
+    if (choice == connection_choice::kPooled) {
+      connection_ = owner_->TakeIdle(address_);
+    }
+    if (connection_) {
+      Dispatch([](call& self) { self.Write(); });
+      return;
+    }
+    connection_ = owner_->OpenNew(address_);
+    Dispatch([](call& self) { self.Connect(); });
+  }
+
+  void Cancel() {
+    Dispatch([](call& self) {
+      if (self.done_) {
+        self.owner_->Counters().Add("client_call_cancelled");
+        self.Finish(self.LostState());
+      }
+    });
+  }
+
+ private:
+  // Runs `step` on the strand. The executor is copied while the call starts,
+  // so that a later Cancel() need not touch the connection.
+  void Dispatch(void (*step)(call&)) {
+    if (!executor_) {
+      executor_ = connection_->stream.get_executor();
+    }
+    asio::post(executor_, [self = shared_from_this(), step] { step(*self); });
+  }
+
+  void FillMessage(http_request&& request) {
+    message_.version(11);
+    message_.method_string(request.method);
+    message_.target(request.path);
+    message_.set(http::field::host, address_);
+    for (const auto& [name, value] : request.headers) {
+      message_.set(name, value);
+    }
+    message_.body() = std::move(request.body);
+    message_.prepare_payload();
+  }
+
+  void Connect() {
+    if (!done_) {
+      return;
+    }
+    const auto address = ParseAddress(address_);
+    if (!address) {
+      Finish(answer_state::kNotDone);
+      return;
+    }
+    const tcp::endpoint endpoint(asio::ip::make_address(address->host),
+                                 address->port);
+    connection_->stream.expires_at(std::min(
+        deadline_,
+        std::chrono::steady_clock::now() + owner_->Options().connect_timeout));
+    connection_->stream.async_connect(
+        endpoint, [self = shared_from_this()](beast::error_code code) {
+          if (!self->done_) {
+            return;
+          }
+          if (code) {
+            self->owner_->Counters().Add("client_connect_failed");
+            self->Finish(answer_state::kNotDone);
+            return;
+          }
+          SetLivenessOptions(self->connection_->stream.socket(),
+                             self->owner_->Options().keepalive_idle,
+                             self->owner_->Options().tcp_user_timeout);
+          self->Write();
+        });
+  }
+
+  void Write() {
+    if (!done_) {
+      return;
+    }
+    is_sent_ = true;
+    connection_->stream.expires_at(deadline_);
+    http::async_write(connection_->stream, message_,
+                      [self = shared_from_this()](beast::error_code code,
+                                                  std::size_t /*bytes*/) {
+                        self->OnWrite(code);
+                      });
+  }
+
+  void OnWrite(beast::error_code code) {
+    if (!done_) {
+      return;
+    }
+    if (code) {
+      owner_->Counters().Add("client_write_failed");
+      Finish(answer_state::kUnknown);
+      return;
+    }
+    parser_.emplace();
+    parser_->body_limit(owner_->Options().max_body_bytes);
+    http::async_read(connection_->stream, connection_->buffer, *parser_,
+                     [self = shared_from_this()](beast::error_code read_code,
+                                                 std::size_t /*bytes*/) {
+                       self->OnRead(read_code);
+                     });
+  }
+
+  void OnRead(beast::error_code code) {
+    if (!done_) {
+      return;
+    }
+    if (code) {
+      owner_->Counters().Add(code == beast::error::timeout
+                                 ? "client_read_timeout"
+                                 : "client_read_failed");
+      Finish(answer_state::kUnknown);
+      return;
+    }
+    http::response<http::string_body> message = parser_->release();
+    // Bytes behind the answer belong to no request: the connection is unsafe.
+    const bool reusable =
+        message.keep_alive() && connection_->buffer.size() == 0;
+    http_answer answer;
+    answer.state = answer_state::kDone;
+    answer.response.status = static_cast<int>(message.result_int());
+    for (const auto& field : message) {
+      std::string name(field.name_string());
+      std::transform(name.begin(), name.end(), name.begin(),
+                     [](unsigned char c) { return std::tolower(c); });
+      answer.response.headers[std::move(name)] = std::string(field.value());
+    }
+    answer.response.body = std::move(message.body());
+    if (reusable) {
+      connection_->stream.expires_never();
+      owner_->Return(address_, std::move(connection_));
+    } else {
+      owner_->Drop(address_, std::move(connection_));
+    }
+    Complete(std::move(answer));
+  }
+
+  answer_state LostState() const {
+    return is_sent_ ? answer_state::kUnknown : answer_state::kNotDone;
+  }
+
+  // Ends without a whole answer; the connection is never used again.
+  void Finish(answer_state state) {
+    connection_->stream.cancel();
+    Complete({state, {}});
+    // Pending handlers still refer to the stream: it goes after them.
+    asio::post(executor_, [self = shared_from_this()] {
+      if (self->connection_) {
+        self->owner_->Drop(self->address_, std::move(self->connection_));
+      }
+    });
+  }
+
+  void Complete(http_answer answer) {
+    const auto done = std::move(done_);
+    done_ = nullptr;
+    done(std::move(answer));
+  }
+
+  std::shared_ptr<impl> owner_;
+  std::string address_;
+  std::chrono::steady_clock::time_point deadline_;
+  std::function<void(http_answer)> done_;
+  connection_ptr connection_;
+  asio::any_io_executor executor_;
+  http::request<http::string_body> message_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  bool is_sent_ = false;
+};
+
+std::shared_ptr<http_client> http_client::Make(asio::io_context& context,
+                                               http_client_options options,
+                                               counter_table& counters) {
+  return std::shared_ptr<http_client>(
+      new http_client(std::make_shared<impl>(context, options, counters)));
+}
+
+http_client::http_client(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+
+http_client::~http_client() = default;
+
+cancel_function http_client::Call(const std::string& address,
+                                  http_request request,
+                                  connection_choice connection,
+                                  duration timeout,
+                                  std::function<void(http_answer)> done) {
+  const auto started =
+      std::make_shared<impl::call>(impl_, address, timeout, std::move(done));
+  started->Start(std::move(request), connection);
+  return [weak = std::weak_ptr<impl::call>(started)] {
+    if (const auto alive = weak.lock()) {
+      alive->Cancel();
+    }
+  };
+}
+
+void http_client::Trim(const std::string& address, int keep) {
+  impl_->Trim(address, keep);
+}
+
+int http_client::Connections(const std::string& address) const {
+  return impl_->Connections(address);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/platform/http_server.cc
@@ -0,0 +1,422 @@
+#include "sassafras/platform/http_server.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <cctype>
+#include <mutex>
+#include <optional>
+#include <set>
+
+#include "sassafras/config/address.h"
+#include "src/platform/socket_options.h"
+
+namespace sassafras {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr duration kKeepaliveIdle = std::chrono::seconds(10);
+constexpr duration kUserTimeout = std::chrono::seconds(10);
+constexpr duration kWriteTimeout = std::chrono::seconds(30);
+
+std::string ToLower(std::string text) {
+  std::transform(text.begin(), text.end(), text.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return text;
+}
+
+http_request ToRequest(http::request<http::string_body>&& message) {
+  http_request request;
+  request.method = std::string(message.method_string());
+  request.path = std::string(message.target());
+  for (const auto& field : message) {
+    request.headers[ToLower(std::string(field.name_string()))] =
+        std::string(field.value());
+  }
+  request.body = std::move(message.body());
+  return request;
+}
+
+}  // namespace
+
+// Accepts connections and counts the open ones.
+class http_server::impl : public std::enable_shared_from_this<impl> {
+ public:
+  class session;
+
+  impl(asio::io_context& context,
+       http_server_options options,
+       counter_table& counters,
+       handler handle)
+      : options_(std::move(options)),
+        counters_(counters),
+        handle_(std::move(handle)),
+        context_(context),
+        acceptor_(asio::make_strand(context)) {}
+
+  bool Listen() {
+    const auto address = ParseAddress(options_.address);
+    if (!address) {
+      return false;
+    }
+    const tcp::endpoint endpoint(asio::ip::make_address(address->host),
+                                 address->port);
+    beast::error_code code;
+    acceptor_.open(endpoint.protocol(), code);
+    if (!code) {
+      acceptor_.set_option(asio::socket_base::reuse_address(true), code);
+    }
+    if (!code) {
+      acceptor_.bind(endpoint, code);
+    }
+    if (!code) {
+      acceptor_.listen(asio::socket_base::max_listen_connections, code);
+    }
+    return !code;
+  }
+
+  void Accept();
+  void Drain();
+  void Remove(session* ended);
+
+  int Connections() const {
+    const std::lock_guard lock(mutex_);
+    return static_cast<int>(sessions_.size());
+  }
+
+  bool IsDraining() const { return draining_.load(); }
+  const http_server_options& Options() const { return options_; }
+  counter_table& Counters() { return counters_; }
+  const handler& Handle() const { return handle_; }
+
+ private:
+  http_server_options options_;
+  counter_table& counters_;
+  handler handle_;
+  asio::io_context& context_;
+  tcp::acceptor acceptor_;
+  std::atomic<bool> draining_{false};
+  mutable std::mutex mutex_;
+  std::set<session*> sessions_;
+};
+
+// One connection. All members are used on the stream's strand.
+class http_server::impl::session
+    : public std::enable_shared_from_this<session> {
+ public:
+  session(std::shared_ptr<impl> owner, tcp::socket socket)
+      : owner_(std::move(owner)), stream_(std::move(socket)) {}
+
+  ~session() { owner_->Remove(this); }
+  session(const session&) = delete;
+  session& operator=(const session&) = delete;
+
+  void Start() {
+    SetLivenessOptions(beast::get_lowest_layer(stream_).socket(),
+                       kKeepaliveIdle, kUserTimeout);
+    asio::dispatch(stream_.get_executor(),
+                   [self = shared_from_this()] { self->WaitForRequest(); });
+  }
+
+  // Closes the connection if no request is in progress on it.
+  void CloseIfIdle() {
+    asio::post(stream_.get_executor(), [self = shared_from_this()] {
+      if (self->is_idle_) {
+        self->Close();
+      }
+    });
+  }
+
+ private:
+  void WaitForRequest() {
+    if (owner_->IsDraining()) {
+      Close();
+      return;
+    }
+    is_idle_ = true;
+    parser_.emplace();
+    parser_->body_limit(owner_->Options().max_body_bytes);
+    parser_->header_limit(owner_->Options().max_header_bytes);
+    if (buffer_.size() > 0) {
+      ReadRequest();
+      return;
+    }
+    stream_.expires_after(owner_->Options().idle_timeout);
+    stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes),
+        [self = shared_from_this()](beast::error_code code, std::size_t bytes) {
+          if (code) {
+            self->Close();
+            return;
+          }
+          self->buffer_.commit(bytes);
+          self->ReadRequest();
+        });
+  }
+
+  void ReadRequest() {
+    is_idle_ = false;
+    stream_.expires_after(owner_->Options().read_timeout);
+    http::async_read(stream_, buffer_, *parser_,
+                     [self = shared_from_this()](beast::error_code code,
+                                                 std::size_t /*bytes*/) {
+                       self->OnRead(code);
+                     });
+  }
+
+  void OnRead(beast::error_code code) {
+    if (code) {
+      RefuseBroken(code);
+      return;
+    }
+    keep_alive_ = parser_->get().keep_alive();
+    stream_.expires_never();
+    const std::uint64_t number = ++request_number_;
+    http_exchange exchange;
+    exchange.request = ToRequest(parser_->release());
+    exchange.reply = [self = shared_from_this(), number](http_response r) {
+      asio::post(self->stream_.get_executor(),
+                 [self, number, response = std::move(r)]() mutable {
+                   self->Reply(number, std::move(response));
+                 });
+    };
+    exchange.on_gone = [self = shared_from_this(), number](gone_handler gone) {
+      asio::post(self->stream_.get_executor(),
+                 [self, number, gone = std::move(gone)]() mutable {
+                   self->SetGone(number, std::move(gone));
+                 });
+    };
+    is_answered_ = false;
+    WatchForClose();
+    owner_->Handle()(std::move(exchange));
+  }
+
+  // Reads ahead while a request is in progress, only to notice that the caller
+  // closes. Bytes of a further request stay in the buffer.
+  void WatchForClose() {
+    if (buffer_.size() >= kFirstReadBytes) {
+      return;
+    }
+    is_watching_ = true;
+    stream_.async_read_some(
+        buffer_.prepare(kFirstReadBytes),
+        [self = shared_from_this()](beast::error_code code, std::size_t bytes) {
+          self->OnWatch(code, bytes);
+        });
+  }
+
+  void OnWatch(beast::error_code code, std::size_t bytes) {
+    is_watching_ = false;
+    if (code) {
+      is_closed_ = true;
+      if (!is_answered_ && gone_) {
+        gone_();
+      }
+      gone_ = nullptr;
+      Close();
+      return;
+    }
+    buffer_.commit(bytes);
+    if (is_waiting_for_watch_) {
+      is_waiting_for_watch_ = false;
+      WaitForRequest();
+      return;
+    }
+    if (!is_answered_) {
+      WatchForClose();
+    }
+  }
+
+  void SetGone(std::uint64_t number, gone_handler gone) {
+    if (number != request_number_ || is_answered_) {
+      return;
+    }
+    if (is_closed_) {
+      gone();
+      return;
+    }
+    gone_ = std::move(gone);
+  }
+
+  void Reply(std::uint64_t number, http_response response) {
+    if (number != request_number_ || is_answered_) {
+      return;
+    }
+    is_answered_ = true;
+    gone_ = nullptr;
+    if (is_closed_) {
+      return;
+    }
+    Write(std::move(response));
+  }
+
+  void Write(http_response response) {
+    keep_alive_ = keep_alive_ && !owner_->IsDraining();
+    message_.emplace(static_cast<http::status>(response.status), 11);
+    for (const auto& [name, value] : response.headers) {
+      message_->set(name, value);
+    }
+    message_->set(http::field::content_type, response.content_type);
+    message_->keep_alive(keep_alive_);
+    message_->body() = std::move(response.body);
+    message_->prepare_payload();
+    stream_.expires_after(kWriteTimeout);
+    http::async_write(stream_, *message_,
+                      [self = shared_from_this()](beast::error_code code,
+                                                  std::size_t /*bytes*/) {
+                        self->OnWrite(code);
+                      });
+  }
+
+  void OnWrite(beast::error_code code) {
+    if (code || !keep_alive_) {
+      Close();
+      return;
+    }
+    if (is_watching_) {
+      // The read that watches for a close becomes the next request's first.
+      is_waiting_for_watch_ = true;
+      is_idle_ = true;
+      stream_.expires_after(owner_->Options().idle_timeout);
+      if (owner_->IsDraining()) {
+        Close();
+      }
+      return;
+    }
+    WaitForRequest();
+  }
+
+  void RefuseBroken(beast::error_code code) {
+    if (code == http::error::end_of_stream ||
+        code == asio::error::operation_aborted ||
+        code == asio::error::connection_reset) {
+      Close();
+      return;
+    }
+    error_kind kind = error_kind::kMalformed;
+    if (code == http::error::body_limit || code == http::error::header_limit) {
+      kind = error_kind::kTooLarge;
+    } else if (code == beast::error::timeout) {
+      kind = error_kind::kTooSlow;
+    }
+    owner_->Counters().AddError(kind);
+    if (kind == error_kind::kTooSlow) {
+      Close();  // The stream was closed by its timeout.
+      return;
+    }
+    keep_alive_ = false;
+    Write(ErrorResponse(Fail(kind, code.message())));
+  }
+
+  void Close() {
+    is_closed_ = true;
+    beast::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
+    stream_.close();
+  }
+
+  static constexpr std::size_t kFirstReadBytes = 4096;
+
+  std::shared_ptr<impl> owner_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<http::response<http::string_body>> message_;
+  gone_handler gone_;
+  std::uint64_t request_number_ = 0;
+  bool keep_alive_ = false;
+  bool is_idle_ = false;
+  bool is_answered_ = true;
+  bool is_closed_ = false;
+  bool is_watching_ = false;
+  bool is_waiting_for_watch_ = false;
+};
+
+void http_server::impl::Accept() {
+  acceptor_.async_accept(
+      asio::make_strand(context_),
+      [self = shared_from_this()](beast::error_code code, tcp::socket socket) {
+        if (self->IsDraining() || code == asio::error::operation_aborted) {
+          return;
+        }
+        if (!code) {
+          const auto added = std::make_shared<session>(self, std::move(socket));
+          {
+            const std::lock_guard lock(self->mutex_);
+            self->sessions_.insert(added.get());
+          }
+          if (self->Connections() > self->options_.max_connections) {
+            self->counters_.Add("refused_connection_limit");
+          } else {
+            added->Start();
+          }
+        }
+        self->Accept();
+      });
+}
+
+void http_server::impl::Drain() {
+  draining_.store(true);
+  asio::post(acceptor_.get_executor(), [self = shared_from_this()] {
+    beast::error_code ignored;
+    self->acceptor_.close(ignored);
+  });
+  std::vector<std::shared_ptr<session>> open;
+  {
+    const std::lock_guard lock(mutex_);
+    for (session* item : sessions_) {
+      if (auto alive = item->weak_from_this().lock()) {
+        open.push_back(std::move(alive));
+      }
+    }
+  }
+  for (const auto& item : open) {
+    item->CloseIfIdle();
+  }
+}
+
+void http_server::impl::Remove(session* ended) {
+  const std::lock_guard lock(mutex_);
+  sessions_.erase(ended);
+}
+
+result<std::shared_ptr<http_server>> http_server::Make(
+    asio::io_context& context,
+    http_server_options options,
+    counter_table& counters,
+    handler handle) {
+  const std::string address = options.address;
+  auto state = std::make_shared<impl>(context, std::move(options), counters,
+                                      std::move(handle));
+  if (!state->Listen()) {
+    return Fail(error_kind::kInvalidSettings, "cannot listen on " + address);
+  }
+  state->Accept();
+  return std::shared_ptr<http_server>(new http_server(std::move(state)));
+}
+
+http_server::http_server(std::shared_ptr<impl> state)
+    : impl_(std::move(state)) {}
+
+http_server::~http_server() {
+  impl_->Drain();
+}
+
+void http_server::Drain() {
+  impl_->Drain();
+}
+
+int http_server::Connections() const {
+  return impl_->Connections();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/platform/socket_options.h
@@ -0,0 +1,19 @@
+#ifndef SASSAFRAS_SRC_PLATFORM_SOCKET_OPTIONS_H_
+#define SASSAFRAS_SRC_PLATFORM_SOCKET_OPTIONS_H_
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "sassafras/core/time.h"
+
+namespace sassafras {
+
+/// Makes the kernel find a silent path: keepalive probes after `idle`, and
+/// failure of unacknowledged data after `user_timeout`. Disables Nagle's
+/// delay. Failures to set an option are ignored.
+void SetLivenessOptions(boost::asio::ip::tcp::socket& socket,
+                        duration idle,
+                        duration user_timeout);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_SRC_PLATFORM_SOCKET_OPTIONS_H_
--- /dev/null
+++ b/tests/test_main.cc
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
