Move job events and decisions into the namespace sassafras::job

The request decisions name some of their events and actions alike, which would have been two definitions of one type in a program that links both.

--- a/include/sassafras/job/job_core.h
+++ b/include/sassafras/job/job_core.h
@@ -12,7 +12,7 @@
 #include "sassafras/job/planner.h"
 #include "sassafras/job/worker_health.h"
 
-namespace sassafras {
+namespace sassafras::job {
 
 /// Settings of job_core.
 struct job_core_options {
@@ -29,7 +29,7 @@
   duration explain_interval{15'000'000};  ///< Between reasons of one job.
   std::size_t scan_limit = 500;           ///< Rows of one scan.
   std::size_t max_rows_per_commit = 64;
-  int max_attempts = 20;  ///< Of an idempotent job, whatever ended them.
+  int max_losses = 20;  ///< Attempts lost to workers before a job ends.
 };
 
 /// Carries out what the planner decides: records, starts and stops gangs,
@@ -71,6 +71,6 @@
   std::unique_ptr<impl> impl_;
 };
 
-}  // namespace sassafras
+}  // namespace sassafras::job
 
 #endif  // SASSAFRAS_JOB_JOB_CORE_H_
--- a/include/sassafras/job/job_event.h
+++ b/include/sassafras/job/job_event.h
@@ -15,7 +15,7 @@
 
 // What goes into job_core and what comes out of it.
 
-namespace sassafras {
+namespace sassafras::job {
 
 /// Whether this process owns the jobs, asked from the lease at each event.
 struct job_ownership {
@@ -177,6 +177,6 @@
                                 list_tasks,
                                 state_changed>;
 
-}  // namespace sassafras
+}  // namespace sassafras::job
 
 #endif  // SASSAFRAS_JOB_JOB_EVENT_H_
--- a/include/sassafras/job/job_row.h
+++ b/include/sassafras/job/job_row.h
@@ -84,8 +84,16 @@
   bool operator==(const task_place&) const = default;
 };
 
+/// An attempt in which tasks ended with a failure.
+struct failed_attempt {
+  int attempt = 0;
+  std::set<worker_id> workers;  ///< On which they failed.
+  bool operator==(const failed_attempt&) const = default;
+};
+
 /// One job as recorded under "job/ID".
 struct job_row {
+  int format = 1;  ///< Of the row as it was read; newer ones are kept.
   job_id id;
   job_state state = job_state::kWaiting;
   team_id team;
@@ -103,8 +111,8 @@
   bool released = false;              ///< Was recorded running in any attempt.
   bool attempt_released = false;      ///< Was recorded running in this attempt.
   std::vector<std::string> checkpoints;  ///< One per task, or empty.
-  int restarts = 0;                      ///< After failures and losses.
-  std::set<worker_id> failed_on;  ///< Workers on which a task of it failed.
+  std::vector<failed_attempt> failures;  ///< Attempts in which a task failed.
+  int losses = 0;  ///< Attempts that lost a task or could not be started.
   bool cancel_requested = false;
   stop_reason stopping_for = stop_reason::kNone;
   job_outcome outcome = job_outcome::kNone;
--- a/include/sassafras/job/worker_health.h
+++ b/include/sassafras/job/worker_health.h
@@ -83,7 +83,7 @@
   };
 
   bool MayHoldAnother(instant now) const;
-  void Quarantine(const worker_id& worker, standing& known, instant now);
+  void Quarantine(standing& known, instant now);
 
   worker_health_options options_;
   counter_table& counters_;
--- /dev/null
+++ b/src/job/tracked_job.cc
@@ -0,0 +1,248 @@
+#include "src/job/tracked_job.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace sassafras {
+namespace {
+
+// Attempts that failed before any work are tried at least so often, also if
+// the class allows no restart.
+constexpr int kLeastStarts = 3;
+
+// Failures on workers that went into quarantine are not the job's fault, but
+// their number is bounded too.
+constexpr int kMaxExcusedFailures = 5;
+
+void End(job_row& row, job_outcome outcome, std::string_view reason) {
+  row.state = job_state::kEnded;
+  row.outcome = outcome;
+  row.reason = reason;
+}
+
+void BackToQueue(job_row& row) {
+  row.state = job_state::kWaiting;
+  row.placement.clear();
+  row.attempt_released = false;
+  row.stopping_for = stop_reason::kNone;
+  row.reason = "waits for its next attempt";
+}
+
+job_row Stopping(const job_row& recorded, stop_reason reason) {
+  job_row row = recorded;
+  row.state = job_state::kStopping;
+  row.stopping_for = reason;
+  return row;
+}
+
+// Whether some worker of a failed attempt is still trusted, so that the
+// failure speaks against the job.
+bool IsChargeable(const failed_attempt& failure,
+                  const transition_limits& limits) {
+  return std::any_of(
+      failure.workers.begin(), failure.workers.end(),
+      [&](const worker_id& worker) { return !limits.is_quarantined(worker); });
+}
+
+void NoteFailures(const tracked_job& job, job_row& row) {
+  failed_attempt failure{row.attempt, {}};
+  for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+    if (job.tasks[i].state == task_state::kFailed) {
+      failure.workers.insert(row.placement[i].worker);
+    }
+  }
+  if (!failure.workers.empty()) {
+    row.failures.push_back(std::move(failure));
+  }
+}
+
+// A gang resumes only from a whole set of checkpoints.
+void NoteCheckpoints(const tracked_job& job, job_row& row) {
+  std::vector<std::string> names;
+  for (const tracked_task& task : job.tasks) {
+    if (task.checkpoint.empty()) {
+      return;
+    }
+    names.push_back(task.checkpoint);
+  }
+  row.checkpoints = std::move(names);
+}
+
+void FinishFailed(job_row& row, const transition_limits& limits) {
+  const auto charged = std::count_if(
+      row.failures.begin(), row.failures.end(),
+      [&](const failed_attempt& item) { return IsChargeable(item, limits); });
+  const int allowed = row.attempt_released
+                          ? row.terms.max_restarts
+                          : std::max(row.terms.max_restarts, kLeastStarts);
+  const auto all = static_cast<int>(row.failures.size());
+  if (charged > allowed || all > allowed + kMaxExcusedFailures) {
+    End(row, row.released ? job_outcome::kFailed : job_outcome::kNotRun,
+        "its tasks failed on several workers");
+    return;
+  }
+  BackToQueue(row);
+}
+
+void FinishLost(job_row& row, const transition_limits& limits) {
+  ++row.losses;
+  if (row.losses > limits.max_losses) {
+    End(row, row.released ? job_outcome::kFailed : job_outcome::kNotRun,
+        "too many attempts were lost to workers");
+    return;
+  }
+  if (row.attempt_released && row.terms.on_loss == loss_rule::kEnd) {
+    End(row, job_outcome::kFailed, "a worker of it was lost");
+    return;
+  }
+  BackToQueue(row);
+}
+
+// The row after every task has settled.
+job_row Finished(const tracked_job& job, const transition_limits& limits) {
+  job_row row = job.row;
+  if (row.attempt_released && job.AllTasks(task_state::kEnded)) {
+    End(row, job_outcome::kSucceeded, "every task ended with success");
+    return row;
+  }
+  NoteFailures(job, row);
+  NoteCheckpoints(job, row);
+  if (row.cancel_requested || job.cancel_seen) {
+    End(row, job_outcome::kCancelled,
+        row.released ? "cancelled after it had begun to run"
+                     : "cancelled before it ran");
+    return row;
+  }
+  const bool has_failed = job.AnyTask(task_state::kFailed);
+  if (row.attempt_released && !row.terms.idempotent) {
+    // Its work may have begun, so that it never runs again.
+    End(row, has_failed ? job_outcome::kFailed : job_outcome::kUnknown,
+        has_failed ? "a task failed" : "it was stopped while it ran");
+    return row;
+  }
+  if (has_failed) {
+    FinishFailed(row, limits);
+  } else if (row.stopping_for == stop_reason::kTaskLost ||
+             row.stopping_for == stop_reason::kStartFailed) {
+    FinishLost(row, limits);
+  } else {
+    BackToQueue(row);
+  }
+  return row;
+}
+
+std::optional<job_row> NextOfWaiting(const tracked_job& job) {
+  job_row row = job.row;
+  if (row.cancel_requested || job.cancel_seen) {
+    row.cancel_requested = false;
+    RequestCancel(row);
+    return row;
+  }
+  if (job.wanted_start) {
+    row.state = job_state::kPlacing;
+    ++row.attempt;
+    row.placement = job.wanted_placement;
+    row.borrowed = job.wanted_start->borrowed;
+    row.attempt_released = false;
+    row.terms.tasks = static_cast<int>(row.placement.size());
+    row.terms.need = job.wanted_need;
+    row.reason = "its tasks are being started";
+    if (row.checkpoints.size() != row.placement.size()) {
+      row.checkpoints.clear();
+    }
+    return row;
+  }
+  if (!job.wanted_reason.empty() && job.wanted_reason != row.reason) {
+    row.reason = job.wanted_reason;
+    return row;
+  }
+  return std::nullopt;
+}
+
+std::optional<job_row> NextOfPlacing(const tracked_job& job,
+                                     const transition_limits& limits,
+                                     instant now) {
+  if (job.cancel_seen || job.row.cancel_requested) {
+    return Stopping(job.row, stop_reason::kCancelled);
+  }
+  if (job.wanted_stop != stop_reason::kNone) {
+    return Stopping(job.row, job.wanted_stop);
+  }
+  if (!job.first_start || !job.AllTasks(task_state::kHeld)) {
+    return std::nullopt;
+  }
+  if (now - *job.first_start > limits.first_lease / 2) {
+    // The first leases could lapse before the release.
+    return Stopping(job.row, stop_reason::kStartFailed);
+  }
+  job_row row = job.row;
+  row.state = job_state::kRunning;
+  row.released = true;
+  row.attempt_released = true;
+  row.reason = "it runs";
+  return row;
+}
+
+std::optional<job_row> NextOfRunning(const tracked_job& job) {
+  if (job.AllTasks(task_state::kEnded)) {
+    job_row row = job.row;
+    End(row, job_outcome::kSucceeded, "every task ended with success");
+    return row;
+  }
+  if (job.cancel_seen || job.row.cancel_requested) {
+    return Stopping(job.row, stop_reason::kCancelled);
+  }
+  if (job.wanted_stop != stop_reason::kNone) {
+    return Stopping(job.row, job.wanted_stop);
+  }
+  return std::nullopt;
+}
+
+}  // namespace
+
+bool tracked_job::AllTasks(task_state state) const {
+  return !tasks.empty() &&
+         std::all_of(tasks.begin(), tasks.end(), [&](const tracked_task& task) {
+           return task.state == state;
+         });
+}
+
+bool tracked_job::AnyTask(task_state state) const {
+  return std::any_of(tasks.begin(), tasks.end(), [&](const tracked_task& task) {
+    return task.state == state;
+  });
+}
+
+bool tracked_job::IsSettled(instant now) const {
+  return std::all_of(tasks.begin(), tasks.end(), [&](const tracked_task& task) {
+    return task.IsFinal() || now >= task.lapse;
+  });
+}
+
+bool HoldsWorkers(job_state state) {
+  return state == job_state::kPlacing || state == job_state::kRunning ||
+         state == job_state::kStopping;
+}
+
+std::optional<job_row> NextRow(const tracked_job& job,
+                               const transition_limits& limits,
+                               instant now) {
+  switch (job.row.state) {
+    case job_state::kWaiting:
+      return NextOfWaiting(job);
+    case job_state::kPlacing:
+      return NextOfPlacing(job, limits, now);
+    case job_state::kRunning:
+      return NextOfRunning(job);
+    case job_state::kStopping:
+      if (job.IsSettled(now)) {
+        return Finished(job, limits);
+      }
+      return std::nullopt;
+    case job_state::kEnded:
+      return std::nullopt;
+  }
+  return std::nullopt;
+}
+
+}  // namespace sassafras
