--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -148,7 +148,7 @@
 
   ~scripted_server() {
     stopping_ = true;
-    raw_caller(acceptor_.local_endpoint().port());
+    const raw_caller wake(acceptor_.local_endpoint().port());
     thread_.join();
   }
   scripted_server(const scripted_server&) = delete;
