--- a/include/sassafras/job/job_row.h
+++ b/include/sassafras/job/job_row.h
@@ -2,6 +2,7 @@
 #define SASSAFRAS_JOB_JOB_ROW_H_
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -138,6 +139,16 @@
 /// Id of task `index` of an attempt: JOB.ATTEMPT.INDEX.
 task_id MakeTaskId(const job_id& job, int attempt, int index);
 
+/// The parts of a task's id.
+struct task_parts {
+  job_id job;
+  int attempt = 0;
+  int index = 0;
+};
+
+/// Takes a task id apart; empty if it is no id that MakeTaskId() made.
+std::optional<task_parts> ParseTaskId(const task_id& task);
+
 /// The terms of a job of `job_class` in `shape`.
 job_terms MakeTerms(const job_class& job_class, const shape& shape);
 
--- a/src/job/job_row.cc
+++ b/src/job/job_row.cc
@@ -1,6 +1,7 @@
 #include "sassafras/job/job_row.h"
 
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
@@ -192,6 +193,16 @@
   return row;
 }
 
+std::optional<int> ParseNumber(std::string_view text) {
+  int number = 0;
+  const auto [end, code] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  if (code != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
 // Whether the parts of a decoded row fit together.
 bool IsConsistent(const job_row& row) {
   const bool is_placed = row.state == job_state::kPlacing ||
@@ -273,6 +284,25 @@
                  std::to_string(index)};
 }
 
+std::optional<task_parts> ParseTaskId(const task_id& task) {
+  const std::string_view text = task.value;
+  const std::size_t last = text.rfind('.');
+  if (last == std::string_view::npos || last == 0) {
+    return std::nullopt;
+  }
+  const std::size_t middle = text.rfind('.', last - 1);
+  if (middle == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto attempt = ParseNumber(text.substr(middle + 1, last - middle - 1));
+  const auto index = ParseNumber(text.substr(last + 1));
+  if (!attempt || !index) {
+    return std::nullopt;
+  }
+  return task_parts{job_id{std::string(text.substr(0, middle))}, *attempt,
+                    *index};
+}
+
 job_terms MakeTerms(const job_class& job_class, const shape& shape) {
   job_terms terms;
   terms.idempotent = job_class.idempotent;
--- /dev/null
+++ b/src/job/renewal_table.h
@@ -0,0 +1,54 @@
+#ifndef SASSAFRAS_JOB_RENEWAL_TABLE_H_
+#define SASSAFRAS_JOB_RENEWAL_TABLE_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sassafras/core/time.h"
+#include "sassafras/job/job_event.h"
+#include "sassafras/job/job_row.h"
+
+namespace sassafras::job {
+
+/// The tasks of gangs that are recorded as running, by worker, and when their
+/// leases are renewed next. One call renews all tasks of a worker.
+class renewal_table {
+ public:
+  /// Adds the tasks of a row that is recorded as running. They are due at once.
+  void Add(const job_row& row);
+
+  /// Removes the tasks of a job; nothing renews them from here any more.
+  void Remove(const job_row& row);
+
+  /// Removes everything.
+  void Clear() { workers_.clear(); }
+
+  /// Returns the calls that are due. A worker whose call is unanswered is
+  /// passed over.
+  std::vector<renew_tasks> Due(instant now, duration interval, duration lease);
+
+  /// Notes that the call to `worker` was answered, in whatever way.
+  void OnAnswer(const worker_id& worker);
+
+  /// Jobs with tasks on `worker`.
+  std::set<job_id> JobsOn(const worker_id& worker) const;
+
+  /// Whether the worker has tasks to renew.
+  bool Has(const worker_id& worker) const { return workers_.count(worker) > 0; }
+
+ private:
+  struct worker_tasks {
+    std::string address;
+    std::map<task_id, job_id> tasks;
+    instant next;
+    bool is_in_flight = false;
+  };
+
+  std::map<worker_id, worker_tasks> workers_;
+};
+
+}  // namespace sassafras::job
+
+#endif  // SASSAFRAS_JOB_RENEWAL_TABLE_H_
--- a/src/job/tracked_job.cc
+++ b/src/job/tracked_job.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <string_view>
 
-namespace sassafras {
+namespace sassafras::job {
 namespace {
 
 // Attempts that failed before any work are tried at least so often, also if
@@ -219,6 +219,14 @@
   });
 }
 
+bool IsReleased(const tracked_job& job) {
+  return std::all_of(
+      job.tasks.begin(), job.tasks.end(), [](const tracked_task& task) {
+        return task.IsFinal() ||
+               task.throttle_percent == task.wanted_throttle_percent;
+      });
+}
+
 bool HoldsWorkers(job_state state) {
   return state == job_state::kPlacing || state == job_state::kRunning ||
          state == job_state::kStopping;
@@ -245,4 +253,4 @@
   return std::nullopt;
 }
 
-}  // namespace sassafras
+}  // namespace sassafras::job
--- a/src/job/tracked_job.h
+++ b/src/job/tracked_job.h
@@ -12,16 +12,20 @@
 #include "sassafras/job/planner.h"
 #include "sassafras/platform/worker_port.h"
 
-namespace sassafras {
+namespace sassafras::job {
 
 /// What the owner knows of one task of the recorded attempt.
 struct tracked_task {
-  std::optional<task_state> state;  ///< As last reported.
-  std::string checkpoint;           ///< Last whole one.
-  std::optional<instant> sent;      ///< Last call about it.
+  std::optional<task_state> state;   ///< As last reported.
+  std::string checkpoint;            ///< Last whole one.
+  std::optional<instant> sent;       ///< Last start, throttle or checkpoint.
+  std::optional<instant> stop_sent;  ///< Last stop.
   std::optional<instant> answered;  ///< Sending time of the last answered call.
-  bool checkpoint_answered = false;
-  int throttle_percent = 0;  ///< As last confirmed.
+  bool is_checkpointed = false;     ///< Since it was asked to stop.
+  int throttle_percent = 0;         ///< As last confirmed.
+  int sent_throttle_percent = 0;
+  int wanted_throttle_percent = 0;
+  std::optional<instant> throttle_lowered;  ///< Last change of the wanted one.
   instant lapse;  ///< By then its lease has surely ended unless it is renewed.
 
   /// Whether it can do no more work.
@@ -35,13 +39,13 @@
 struct tracked_job {
   job_row row;
   std::uint64_t version = 0;
+  instant submitted;                   ///< By this process's clock.
   std::vector<tracked_task> tasks;     ///< Of the attempt; empty while waiting.
   instant since;                       ///< The recorded state was taken in.
   std::optional<instant> first_start;  ///< Of this attempt by this process.
   std::optional<instant> run_start;    ///< When this process released it.
   bool cancel_seen = false;  ///< A later version of the row is cancelled.
   stop_reason wanted_stop = stop_reason::kNone;
-  bool wants_checkpoint = false;
   std::optional<planned_start> wanted_start;
   std::vector<task_place> wanted_placement;
   resources wanted_need;
@@ -54,6 +58,9 @@
   bool IsSettled(instant now) const;
 };
 
+/// Whether every task is known to have the throttle that it should have.
+bool IsReleased(const tracked_job& job);
+
 /// Limits of the transitions.
 struct transition_limits {
   duration first_lease{0};
@@ -69,6 +76,6 @@
                                const transition_limits& limits,
                                instant now);
 
-}  // namespace sassafras
+}  // namespace sassafras::job
 
 #endif  // SASSAFRAS_JOB_TRACKED_JOB_H_
