Add sassafras-load: requests and jobs of a plan, with checked answers

Cause: the demo and the measurement on one machine need callers that check what they were promised. Change: an open-loop load tool that imitates callers behind a balancer, asks again with the same key after a lost answer, and compares what it was told with the executions that minions and workers counted.

--- /dev/null
+++ b/programs/load/load_driver.cc
@@ -0,0 +1,348 @@
+#include "programs/load/load_driver.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
+
+namespace sassafras {
+namespace {
+
+using nlohmann::json;
+using std::chrono::steady_clock;
+
+constexpr int kOk = 200;
+constexpr int kAccepted = 202;
+constexpr int kMaxTries = 8;
+constexpr duration kRequestTimeout = std::chrono::seconds(70);
+constexpr duration kRetryDelay = std::chrono::milliseconds(200);
+constexpr duration kPollInterval = std::chrono::milliseconds(250);
+constexpr duration kReadTimeout = std::chrono::seconds(5);
+
+duration Since(steady_clock::time_point start) {
+  return std::chrono::duration_cast<duration>(steady_clock::now() - start);
+}
+
+run_outcome ToOutcome(const std::string& name) {
+  for (const run_outcome outcome :
+       {run_outcome::kRan, run_outcome::kNotRun, run_outcome::kUnknown}) {
+    if (GetName(outcome) == name) {
+      return outcome;
+    }
+  }
+  return run_outcome::kUnknown;
+}
+
+std::string FieldOf(const http_answer& answer, const char* field) {
+  const json body = json::parse(answer.response.body, nullptr, false);
+  if (!body.is_object() || !body.contains(field) || !body[field].is_string()) {
+    return {};
+  }
+  return body[field];
+}
+
+}  // namespace
+
+struct load_driver::pending_request {
+  const request_load_plan* stream = nullptr;
+  std::string key;
+  std::string body;
+  steady_clock::time_point start;
+  int tries = 0;
+  bool may_have_run = false;  ///< An earlier try was lost.
+};
+
+struct load_driver::pending_job {
+  const job_load_plan* stream = nullptr;
+  std::string key;
+  std::string body;
+  std::string id;
+  steady_clock::time_point start;
+};
+
+load_driver::load_driver(load_plan plan, std::uint64_t seed)
+    : plan_(std::move(plan)),
+      run_name_("load-" +
+                std::to_string(steady_clock::now().time_since_epoch().count())),
+      random_(seed),
+      client_(http_client::Make(context_, {}, counters_)) {}
+
+void load_driver::Run() {
+  send_end_ = steady_clock::now() + plan_.length;
+  settle_end_ = send_end_ + plan_.settle;
+  for (const request_load_plan& stream : plan_.requests) {
+    StartRequests(stream);
+  }
+  for (const job_load_plan& stream : plan_.jobs) {
+    StartJobs(stream);
+  }
+  context_.run();
+}
+
+void load_driver::After(duration delay, std::function<void()> action) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(context_, delay);
+  timer->async_wait([timer, action = std::move(action)](
+                        const boost::system::error_code&) { action(); });
+}
+
+const std::string& load_driver::AnyGateway() {
+  std::uniform_int_distribution<std::size_t> any(0, plan_.gateways.size() - 1);
+  return plan_.gateways[any(random_)];
+}
+
+std::string load_driver::NewKey() {
+  return run_name_ + "-" + std::to_string(++next_key_);
+}
+
+void load_driver::StartRequests(const request_load_plan& stream) {
+  if (steady_clock::now() >= send_end_) {
+    return;
+  }
+  auto request = std::make_shared<pending_request>();
+  request->stream = &stream;
+  request->key = NewKey();
+  request->body = json{
+      {"key", request->key},
+      {"work_ms",
+       std::chrono::duration_cast<std::chrono::milliseconds>(stream.work)
+           .count()}}.dump();
+  request->start = steady_clock::now();
+  ++record_.classes[stream.class_name].asked;
+  SendRequest(request);
+  std::exponential_distribution<double> gap(stream.per_second);
+  const std::chrono::duration<double> seconds(gap(random_));
+  After(std::chrono::duration_cast<duration>(seconds),
+        [this, &stream] { StartRequests(stream); });
+}
+
+void load_driver::SendRequest(const std::shared_ptr<pending_request>& request) {
+  ++request->tries;
+  http_request message;
+  message.method = "POST";
+  message.path = "/v1/requests/" + request->stream->class_name;
+  message.headers["authorization"] = "Bearer " + request->stream->token;
+  message.headers["idempotency-key"] = request->key;
+  message.body = request->body;
+  client_->Call(AnyGateway(), std::move(message), connection_choice::kPooled,
+                kRequestTimeout, [this, request](const http_answer& answer) {
+                  OnRequestAnswer(request, answer);
+                });
+}
+
+void load_driver::OnRequestAnswer(
+    const std::shared_ptr<pending_request>& request,
+    const http_answer& answer) {
+  if (answer.state == answer_state::kDone) {
+    if (answer.response.status == kOk) {
+      if (answer.response.body != request->body) {
+        ++record_.wrong_answers;
+      }
+      EndRequest(*request, run_outcome::kRan);
+      return;
+    }
+    CountRefusal(answer);
+    const auto it = answer.response.headers.find("x-sassafras-outcome");
+    const bool told = it != answer.response.headers.end();
+    // A retryable answer about a key whose first try was lost is asked again.
+    if (request->may_have_run && request->stream->once &&
+        FieldOf(answer, "error") == "in_progress" &&
+        request->tries < kMaxTries) {
+      After(kRetryDelay, [this, request] { SendRequest(request); });
+      return;
+    }
+    EndRequest(*request, told ? ToOutcome(it->second) : run_outcome::kUnknown);
+    return;
+  }
+  if (answer.state == answer_state::kUnknown) {
+    request->may_have_run = true;
+    if (!request->stream->once) {
+      EndRequest(*request, run_outcome::kUnknown);
+      return;
+    }
+  }
+  if (request->tries >= kMaxTries) {
+    EndRequest(*request, request->may_have_run ? run_outcome::kUnknown
+                                               : run_outcome::kNotRun);
+    return;
+  }
+  After(kRetryDelay, [this, request] { SendRequest(request); });
+}
+
+void load_driver::EndRequest(const pending_request& request,
+                             run_outcome outcome) {
+  class_record& record = record_.classes[request.stream->class_name];
+  keyed_record& key = record_.keys[request.key];
+  key.told = outcome;
+  key.most = request.stream->once ? 1 : 0;
+  key.least = 1;
+  switch (outcome) {
+    case run_outcome::kRan:
+      ++record.answered;
+      record.completions.push_back(Since(request.start));
+      break;
+    case run_outcome::kNotRun:
+      ++record.not_run;
+      break;
+    case run_outcome::kUnknown:
+      ++record.unknown;
+      break;
+  }
+}
+
+void load_driver::CountRefusal(const http_answer& answer) {
+  const std::string name = FieldOf(answer, "error");
+  ++record_.refusals[name.empty() ? "other" : name];
+}
+
+void load_driver::StartJobs(const job_load_plan& stream) {
+  if (steady_clock::now() >= send_end_) {
+    return;
+  }
+  const auto run_ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(stream.run).count();
+  auto job = std::make_shared<pending_job>();
+  job->stream = &stream;
+  job->key = NewKey();
+  job->body = json{{"class", stream.class_name},
+                   {"shape", stream.shape},
+                   {"run", std::to_string(run_ms) + "ms"},
+                   {"payload", json{{"run_ms", run_ms}}.dump()}}
+                  .dump();
+  job->start = steady_clock::now();
+  ++record_.classes[stream.class_name].asked;
+  SubmitJob(job);
+  After(stream.every, [this, &stream] { StartJobs(stream); });
+}
+
+void load_driver::SubmitJob(const std::shared_ptr<pending_job>& job) {
+  http_request message;
+  message.method = "POST";
+  message.path = "/v1/jobs";
+  message.headers["authorization"] = "Bearer " + job->stream->token;
+  message.headers["idempotency-key"] = job->key;
+  message.body = job->body;
+  client_->Call(AnyGateway(), std::move(message), connection_choice::kPooled,
+                kReadTimeout, [this, job](const http_answer& answer) {
+                  OnSubmitted(job, answer);
+                });
+}
+
+void load_driver::OnSubmitted(const std::shared_ptr<pending_job>& job,
+                              const http_answer& answer) {
+  const bool is_done = answer.state == answer_state::kDone;
+  if (is_done &&
+      (answer.response.status == kOk || answer.response.status == kAccepted)) {
+    job->id = FieldOf(answer, "job");
+    PollJob(job);
+    return;
+  }
+  const bool is_refused = is_done && answer.response.status < 500;
+  if (is_refused || steady_clock::now() >= settle_end_) {
+    CountRefusal(answer);
+    ++record_.classes[job->stream->class_name].not_run;
+    return;
+  }
+  // The key settles whether an earlier try took effect.
+  After(kRetryDelay, [this, job] { SubmitJob(job); });
+}
+
+void load_driver::PollJob(const std::shared_ptr<pending_job>& job) {
+  http_request message;
+  message.method = "GET";
+  message.path = "/v1/jobs/" + job->id;
+  message.headers["authorization"] = "Bearer " + job->stream->token;
+  client_->Call(AnyGateway(), std::move(message), connection_choice::kPooled,
+                kReadTimeout, [this, job](const http_answer& answer) {
+                  const std::string state = FieldOf(answer, "state");
+                  if (state == "ended") {
+                    EndJob(*job, FieldOf(answer, "outcome"));
+                    return;
+                  }
+                  if (steady_clock::now() >= settle_end_) {
+                    ++record_.vanished_jobs;
+                    return;
+                  }
+                  After(kPollInterval, [this, job] { PollJob(job); });
+                });
+}
+
+void load_driver::EndJob(const pending_job& job, const std::string& outcome) {
+  class_record& record = record_.classes[job.stream->class_name];
+  keyed_record& key = record_.keys[job.id];
+  key.most = job.stream->once ? job.stream->tasks : 0;
+  key.least = job.stream->tasks;
+  if (outcome == "succeeded") {
+    key.told = run_outcome::kRan;
+    ++record.answered;
+    record.completions.push_back(Since(job.start));
+  } else if (outcome == "not_run") {
+    key.told = run_outcome::kNotRun;
+    ++record.not_run;
+  } else {
+    ++record.unknown;
+    ++record_.refusals["job_" + outcome];
+  }
+}
+
+http_answer load_driver::CallAndWait(const std::string& address,
+                                     const std::string& path) {
+  http_answer received;
+  http_request message;
+  message.method = "GET";
+  message.path = path;
+  client_->Call(address, std::move(message), connection_choice::kFresh,
+                kReadTimeout,
+                [&](http_answer answer) { received = std::move(answer); });
+  context_.restart();
+  context_.run();
+  return received;
+}
+
+std::map<std::string, int> load_driver::ReadExecutions() {
+  std::map<std::string, int> executions;
+  for (const service_range* range : {&plan_.minions, &plan_.workers}) {
+    for (int i = 0; i < range->count; ++i) {
+      const std::string address =
+          range->host + ":" + std::to_string(range->first_port + i);
+      json body = json::parse(CallAndWait(address, "/executions").response.body,
+                              nullptr, false);
+      if (body.is_object() && body.contains("executions")) {
+        body = json(body["executions"]);
+      }
+      if (!body.is_object()) {
+        continue;
+      }
+      for (const auto& [key, count] : body.items()) {
+        executions[key] += count.get<int>();
+      }
+    }
+  }
+  return executions;
+}
+
+std::map<std::string, double> load_driver::ReadSchedulerFigures() {
+  std::map<std::string, double> figures;
+  for (const std::string& address : plan_.schedulers) {
+    std::istringstream lines(CallAndWait(address, "/metrics").response.body);
+    std::string line;
+    while (std::getline(lines, line)) {
+      const std::size_t space = line.rfind(' ');
+      if (line.empty() || line.front() == '#' || space == std::string::npos) {
+        continue;
+      }
+      const std::string name = line.substr(0, space);
+      const bool wanted = name.find("fragmentation") != std::string::npos ||
+                          name.find("reclaim") != std::string::npos ||
+                          name.find("job_") != std::string::npos ||
+                          name.find("plan") != std::string::npos;
+      const double value = std::stod(line.substr(space + 1));
+      if (wanted && value != 0) {
+        figures[name] += value;
+      }
+    }
+  }
+  return figures;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/programs/load/load_record.cc
@@ -0,0 +1,97 @@
+#include "programs/load/load_record.h"
+
+#include <algorithm>
+#include <cmath>
+#include <iomanip>
+#include <iostream>
+
+namespace sassafras {
+namespace {
+
+constexpr int kNameWidth = 24;
+constexpr int kNumberWidth = 11;
+
+double ToMilliseconds(duration value) {
+  return std::chrono::duration<double, std::milli>(value).count();
+}
+
+// The smallest value with at least `part` of all values at or below it.
+std::string Quantile(std::vector<duration> values, double part) {
+  if (values.empty()) {
+    return "-";
+  }
+  const auto index =
+      static_cast<std::size_t>(part * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(index),
+                   values.end());
+  const auto rounded = std::llround(ToMilliseconds(values[index]));
+  return std::to_string(rounded) + " ms";
+}
+
+void PrintClasses(const load_record& record) {
+  std::cout << std::left << std::setw(kNameWidth) << "class" << std::right;
+  for (const char* title :
+       {"asked", "answered", "not run", "unknown", "median", "p99"}) {
+    std::cout << std::setw(kNumberWidth) << title;
+  }
+  std::cout << '\n';
+  for (const auto& [name, item] : record.classes) {
+    std::cout << std::left << std::setw(kNameWidth) << name << std::right
+              << std::setw(kNumberWidth) << item.asked
+              << std::setw(kNumberWidth) << item.answered
+              << std::setw(kNumberWidth) << item.not_run
+              << std::setw(kNumberWidth) << item.unknown
+              << std::setw(kNumberWidth) << Quantile(item.completions, 0.5)
+              << std::setw(kNumberWidth) << Quantile(item.completions, 0.99)
+              << '\n';
+  }
+}
+
+}  // namespace
+
+std::vector<promise_check> CheckPromises(
+    const load_record& record,
+    const std::map<std::string, int>& executions) {
+  promise_check twice{"non-idempotent work that ran twice"};
+  promise_check not_run{"told not run, but ran"};
+  promise_check incomplete{"told ran, but did not run whole"};
+  for (const auto& [key, item] : record.keys) {
+    const auto it = executions.find(key);
+    const int count = it == executions.end() ? 0 : it->second;
+    if (item.most > 0 && count > item.most) {
+      ++twice.broken;
+    }
+    if (item.told == run_outcome::kNotRun && count > 0) {
+      ++not_run.broken;
+    }
+    if (item.told == run_outcome::kRan && count < item.least) {
+      ++incomplete.broken;
+    }
+  }
+  return {twice,
+          not_run,
+          incomplete,
+          {"wrong or partial answers", record.wrong_answers},
+          {"accepted jobs without outcome", record.vanished_jobs}};
+}
+
+void PrintRecord(const load_record& record,
+                 const std::map<std::string, double>& scheduler_figures,
+                 const std::vector<promise_check>& checks) {
+  PrintClasses(record);
+  std::cout << "\nrefusals by reason\n";
+  for (const auto& [name, count] : record.refusals) {
+    std::cout << "  " << name << ": " << count << '\n';
+  }
+  std::cout << "\nscheduler\n";
+  for (const auto& [name, value] : scheduler_figures) {
+    std::cout << "  " << name << ": " << value << '\n';
+  }
+  std::cout << "\npromises broken\n";
+  for (const promise_check& check : checks) {
+    std::cout << "  " << check.name << ": " << check.broken << '\n';
+  }
+}
+
+}  // namespace sassafras
