Add leases with fencing epochs and a keeper that holds them

Schedulers need one owner per piece of the job world without a consensus group. The row in the table service carries holder, incarnation, epoch, a write number and the term; no clock value is stored or compared.

- Another process takes over only after the row stood unchanged for the greater of both terms on its own clock, counted from the answer of one read to the sending of a later one; the write is conditional, so that lagging reads cost a conflict at most.
- The holder counts its term from the sending of a write that is known to have taken effect, and stops a margin before its end.
- Ruled out: comparing store time stamps (nothing bounds their skew) and extending the term by reads (a lagging read would revive a lost lease).
- lease_keeper sends one operation on the row at a time, guards transactions with the row's version, and tells its program what it gained and lost.

--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/id.h"
@@ -53,9 +54,15 @@
   std::uint64_t Epoch() const { return epoch_; }
 
   /// Version of the lease row under which this process acts. A transaction
-  /// that includes Guard() fails once another process has taken over.
+  /// that includes Guard() fails once another process has taken over. It
+  /// rewrites the row, so that guarded transactions and renewals go one at a
+  /// time, and each answer is taken in by OnGuarded() before the next.
   std::optional<table_write> Guard() const;
 
+  /// Takes in the answer to a transaction with Guard() that left at `sent`.
+  /// One that took effect renews the lease.
+  void OnGuarded(instant sent, instant now, const commit_answer& answer);
+
   /// Holder according to the last row seen, empty if none.
   const std::string& LastHolder() const { return seen_holder_; }
 
@@ -63,6 +70,41 @@
   std::optional<table_write> Release(instant now);
 
  private:
+  // The row's content.
+  struct row_state {
+    std::string holder;
+    std::string incarnation;
+    std::uint64_t epoch = 0;
+    std::uint64_t write_number = 0;  // Grows with each take or renewal.
+    duration term{0};
+    bool is_released = false;
+    bool is_malformed = false;
+  };
+
+  // A write of this process whose effect is not known yet.
+  struct sent_write {
+    instant sent;
+    std::uint64_t epoch = 0;
+    std::uint64_t write_number = 0;
+    std::string value;
+  };
+
+  static row_state Decode(const std::string& value);
+  std::string Encode(const row_state& state, const std::string& base) const;
+  bool IsOwn(const row_state& state) const;
+  bool IsStale(const table_row& row, const row_state& state, instant now) const;
+  bool MayTake(instant sent, const table_row& row) const;
+  void CheckClock(instant now);
+  void Observe(instant now, const table_row& row, const row_state& state);
+  void Settle(instant now, const table_row& row, const row_state& state);
+  void Hold(const sent_write& write, std::uint64_t version);
+  void Lose();
+  table_write Prepare(instant sent,
+                      std::uint64_t epoch,
+                      std::uint64_t expected_version,
+                      const std::string& base);
+  void OnConflict(instant now, const commit_answer& answer);
+
   lease_options options_;
   counter_table& counters_;
   std::uint64_t epoch_ = 0;
@@ -70,12 +112,21 @@
   std::string row_value_;
   instant valid_until_;
   instant next_read_;
+  instant last_now_;
   bool is_held_ = false;
+  bool is_given_up_ = false;
+  bool is_guard_unsettled_ = false;
+  std::vector<sent_write> unsettled_;
   std::string seen_holder_;
   std::uint64_t seen_version_ = 0;
+  row_state seen_;
   instant seen_since_;
 };
 
+/// Whether monotonic clocks whose rates differ by `rate_difference` (0.01 is
+/// one part in a hundred) keep a lease of `options` from having two holders.
+bool IsClockRateSafe(const lease_options& options, double rate_difference);
+
 }  // namespace sassafras
 
 #endif  // SASSAFRAS_CLUSTER_LEASE_H_
--- /dev/null
+++ b/programs/shell/lease_keeper.cc
@@ -0,0 +1,216 @@
+#include "programs/shell/lease_keeper.h"
+
+#include <utility>
+
+namespace sassafras {
+
+std::shared_ptr<lease_keeper> lease_keeper::Make(lease_options options,
+                                                 table_port table,
+                                                 counter_table& counters,
+                                                 hooks program) {
+  return std::shared_ptr<lease_keeper>(new lease_keeper(
+      std::move(options), std::move(table), counters, std::move(program)));
+}
+
+lease_keeper::lease_keeper(lease_options options,
+                           table_port table,
+                           counter_table& counters,
+                           hooks program)
+    : key_(options.key),
+      table_(std::move(table)),
+      program_(std::move(program)),
+      lease_(std::move(options), counters) {}
+
+void lease_keeper::Tick() {
+  Report();
+  Advance(read_choice::kAllowed);
+}
+
+bool lease_keeper::MayAct() const {
+  const std::lock_guard lock(mutex_);
+  return lease_.MayAct(program_.now());
+}
+
+std::uint64_t lease_keeper::Epoch() const {
+  const std::lock_guard lock(mutex_);
+  return lease_.Epoch();
+}
+
+std::string lease_keeper::LastHolder() const {
+  const std::lock_guard lock(mutex_);
+  return lease_.LastHolder();
+}
+
+void lease_keeper::Commit(table_transaction transaction,
+                          std::function<void(commit_answer)> done) {
+  {
+    const std::lock_guard lock(mutex_);
+    queue_.push_back({std::move(transaction), std::move(done)});
+  }
+  Advance(read_choice::kNotNow);
+}
+
+void lease_keeper::Stop(std::function<void()> done) {
+  {
+    const std::lock_guard lock(mutex_);
+    is_stopping_ = true;
+    on_stopped_ = std::move(done);
+  }
+  Advance(read_choice::kNotNow);
+}
+
+// Starts the next operation on the lease row if none is under way: reads that
+// are due come before guarded transactions, the release comes last.
+// A read is started by a tick only, so that a store that fails is not asked
+// again at once.
+void lease_keeper::Advance(read_choice choice) {
+  std::unique_lock lock(mutex_);
+  if (is_busy_) {
+    return;
+  }
+  const instant now = program_.now();
+  if (choice == read_choice::kAllowed && !is_stopping_ &&
+      lease_.WantsRead(now)) {
+    is_busy_ = true;
+    lock.unlock();
+    SendRead(now);
+    return;
+  }
+  if (!queue_.empty()) {
+    guarded work = std::move(queue_.front());
+    queue_.pop_front();
+    if (!lease_.MayAct(now)) {
+      lock.unlock();
+      work.done({answer_state::kNotDone, error_kind::kLeaseLost, {}});
+      Advance(read_choice::kNotNow);
+      return;
+    }
+    is_busy_ = true;
+    lock.unlock();
+    SendGuarded(now, std::move(work));
+    return;
+  }
+  if (is_stopping_ && on_stopped_) {
+    is_busy_ = true;
+    lock.unlock();
+    SendRelease();
+  }
+}
+
+void lease_keeper::SendRead(instant sent) {
+  table_.read({key_}, [self = shared_from_this(), sent](read_answer answer) {
+    std::optional<table_write> write;
+    instant now;
+    {
+      const std::lock_guard lock(self->mutex_);
+      now = self->program_.now();
+      if (answer.state == answer_state::kDone && answer.rows.size() == 1) {
+        write = self->lease_.OnRow(sent, now, answer.rows.front());
+      }
+      self->is_busy_ = write.has_value();
+    }
+    if (write) {
+      self->SendWrite(now, std::move(*write));
+      return;
+    }
+    self->Report();
+    self->Advance(read_choice::kNotNow);
+  });
+}
+
+void lease_keeper::SendWrite(instant sent, table_write write) {
+  table_.commit({std::move(write)},
+                [self = shared_from_this(), sent](const commit_answer& answer) {
+                  {
+                    const std::lock_guard lock(self->mutex_);
+                    self->lease_.OnCommit(sent, self->program_.now(), answer);
+                    self->is_busy_ = false;
+                  }
+                  self->Report();
+                  self->Advance(read_choice::kNotNow);
+                });
+}
+
+void lease_keeper::SendGuarded(instant sent, guarded work) {
+  table_transaction transaction = work.transaction;
+  {
+    const std::lock_guard lock(mutex_);
+    if (auto guard = lease_.Guard()) {
+      transaction.push_back(std::move(*guard));
+    }
+  }
+  table_.commit(std::move(transaction),
+                [self = shared_from_this(), sent,
+                 work = std::move(work)](commit_answer answer) mutable {
+                  bool retries = false;
+                  const auto done = work.done;
+                  {
+                    const std::lock_guard lock(self->mutex_);
+                    const instant now = self->program_.now();
+                    self->lease_.OnGuarded(sent, now, answer);
+                    retries = self->NeedsRetry(answer, now);
+                    if (retries) {
+                      self->queue_.push_front(std::move(work));
+                    }
+                    self->is_busy_ = false;
+                  }
+                  if (!retries) {
+                    done(std::move(answer));
+                  }
+                  self->Report();
+                  self->Advance(read_choice::kNotNow);
+                });
+}
+
+// Only the guard was out of date, after an earlier answer was lost.
+bool lease_keeper::NeedsRetry(const commit_answer& answer, instant now) const {
+  return answer.state == answer_state::kNotDone &&
+         answer.reason == error_kind::kConflict && answer.rows.size() == 1 &&
+         answer.rows.front().key == key_ && lease_.MayAct(now);
+}
+
+void lease_keeper::SendRelease() {
+  std::optional<table_write> write;
+  std::function<void()> done;
+  {
+    const std::lock_guard lock(mutex_);
+    write = lease_.Release(program_.now());
+    done = std::exchange(on_stopped_, nullptr);
+    is_busy_ = write.has_value();
+  }
+  if (!write) {
+    done();
+    return;
+  }
+  table_.commit({std::move(*write)},
+                [self = shared_from_this(),
+                 done = std::move(done)](const commit_answer& /*answer*/) {
+                  {
+                    const std::lock_guard lock(self->mutex_);
+                    self->is_busy_ = false;
+                  }
+                  done();
+                });
+}
+
+// Tells the program about a change of holder, once per change.
+void lease_keeper::Report() {
+  bool is_held = false;
+  std::uint64_t epoch = 0;
+  {
+    const std::lock_guard lock(mutex_);
+    is_held = lease_.MayAct(program_.now());
+    if (is_held == was_told_held_) {
+      return;
+    }
+    was_told_held_ = is_held;
+    epoch = lease_.Epoch();
+  }
+  if (is_held) {
+    program_.on_gained(epoch);
+  } else {
+    program_.on_lost();
+  }
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/cluster/lease.cc
@@ -0,0 +1,313 @@
+#include "sassafras/cluster/lease.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "sassafras/core/invariant.h"
+
+namespace sassafras {
+namespace {
+
+constexpr int kRowFormat = 1;
+constexpr int kRenewalsPerTerm = 3;
+constexpr std::size_t kMaxUnsettled = 16;
+
+const table_row* FindRow(const std::vector<table_row>& rows,
+                         const std::string& key) {
+  const auto it =
+      std::find_if(rows.begin(), rows.end(),
+                   [&](const table_row& row) { return row.key == key; });
+  return it == rows.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+bool IsClockRateSafe(const lease_options& options, double rate_difference) {
+  return rate_difference * static_cast<double>(options.term.count()) <
+         static_cast<double>(options.margin.count());
+}
+
+lease::lease(lease_options options, counter_table& counters)
+    : options_(std::move(options)), counters_(counters) {
+  CheckInvariant(options_.margin > duration(0) &&
+                     options_.margin * kRenewalsPerTerm < options_.term,
+                 "lease_margin_is_a_small_part_of_the_term");
+}
+
+bool lease::WantsRead(instant now) const {
+  return !is_given_up_ && now >= next_read_;
+}
+
+std::optional<table_write> lease::OnRow(instant sent,
+                                        instant now,
+                                        const table_row& row) {
+  CheckClock(now);
+  next_read_ = now + options_.term / kRenewalsPerTerm;
+  if (is_given_up_) {
+    return std::nullopt;
+  }
+  const row_state state = Decode(row.value);
+  if (state.is_malformed) {
+    counters_.Add("lease_row_malformed");
+    return std::nullopt;
+  }
+  if (IsStale(row, state, now)) {
+    counters_.Add("lease_stale_read");
+  } else {
+    Settle(now, row, state);
+  }
+  if (is_held_) {
+    return Prepare(now, epoch_, row_version_, row_value_);
+  }
+  if (MayTake(sent, row)) {
+    counters_.Add("lease_take_tried");
+    return Prepare(now, seen_.epoch + 1, row.version, row.value);
+  }
+  // The first read at which the row may have stood for a whole term.
+  const instant may_take = seen_since_ + std::max(options_.term, seen_.term);
+  if (may_take > now) {
+    next_read_ = std::min(next_read_, may_take);
+  }
+  return std::nullopt;
+}
+
+void lease::OnCommit(instant sent, instant now, const commit_answer& answer) {
+  CheckClock(now);
+  const auto it =
+      std::find_if(unsettled_.begin(), unsettled_.end(),
+                   [&](const sent_write& write) { return write.sent == sent; });
+  if (it == unsettled_.end() || is_given_up_) {
+    counters_.Add("lease_late_answer");
+    return;
+  }
+  if (answer.state == answer_state::kUnknown) {
+    counters_.Add("lease_commit_unknown");
+    return;
+  }
+  if (answer.state == answer_state::kDone) {
+    const table_row* row = FindRow(answer.rows, options_.key);
+    Hold(*it, row == nullptr ? 0 : row->version);
+    return;
+  }
+  unsettled_.erase(it);
+  if (answer.reason == error_kind::kConflict) {
+    OnConflict(now, answer);
+  }
+}
+
+void lease::OnGuarded(instant sent, instant now, const commit_answer& answer) {
+  CheckClock(now);
+  if (!is_held_) {
+    return;
+  }
+  if (answer.state == answer_state::kUnknown) {
+    is_guard_unsettled_ = true;
+    next_read_ = now;
+    return;
+  }
+  if (answer.state == answer_state::kDone) {
+    const table_row* row = FindRow(answer.rows, options_.key);
+    if (row != nullptr) {
+      row_version_ = row->version;
+      seen_version_ = row->version;
+      valid_until_ = std::max(valid_until_, sent + options_.term);
+    }
+    return;
+  }
+  if (answer.reason == error_kind::kConflict) {
+    OnConflict(now, answer);
+  }
+}
+
+bool lease::MayAct(instant now) const {
+  return is_held_ && std::max(now, last_now_) + options_.margin < valid_until_;
+}
+
+std::optional<table_write> lease::Guard() const {
+  if (!is_held_) {
+    return std::nullopt;
+  }
+  return table_write{options_.key, row_version_, row_value_};
+}
+
+std::optional<table_write> lease::Release(instant now) {
+  CheckClock(now);
+  is_given_up_ = true;
+  if (!is_held_) {
+    return std::nullopt;
+  }
+  is_held_ = false;
+  row_state state = seen_;
+  state.write_number += 1;
+  state.is_released = true;
+  counters_.Add("lease_released");
+  return table_write{options_.key, row_version_, Encode(state, row_value_)};
+}
+
+lease::row_state lease::Decode(const std::string& value) {
+  row_state state;
+  if (value.empty()) {
+    return state;
+  }
+  try {
+    const auto document = nlohmann::json::parse(value);
+    state.holder = document.at("holder");
+    state.incarnation = document.at("incarnation");
+    state.epoch = document.at("epoch");
+    state.write_number = document.at("write");
+    state.term = duration(document.at("term_us").get<std::int64_t>());
+    state.is_released = document.value("released", false);
+  } catch (const nlohmann::json::exception&) {
+    state.is_malformed = true;
+  }
+  return state;
+}
+
+// Fields that this version does not know are kept from `base`.
+std::string lease::Encode(const row_state& state,
+                          const std::string& base) const {
+  auto document = nlohmann::json::parse(base, nullptr, false);
+  if (!document.is_object()) {
+    document = nlohmann::json::object();
+  }
+  document["format"] = kRowFormat;
+  document["holder"] = state.holder;
+  document["incarnation"] = state.incarnation;
+  document["epoch"] = state.epoch;
+  document["write"] = state.write_number;
+  document["term_us"] = state.term.count();
+  document["released"] = state.is_released;
+  return document.dump();
+}
+
+bool lease::IsOwn(const row_state& state) const {
+  return state.holder == options_.holder.value &&
+         state.incarnation == options_.incarnation && !state.is_released;
+}
+
+// A read that shows less than was seen before comes from a lagging replica. A
+// row that stays absent for a term was erased; taking it is still conditional.
+bool lease::IsStale(const table_row& row,
+                    const row_state& state,
+                    instant now) const {
+  if (row.version == 0) {
+    return seen_version_ != 0 &&
+           (is_held_ || now - seen_since_ < options_.term);
+  }
+  return state.epoch < seen_.epoch || state.write_number < seen_.write_number;
+}
+
+bool lease::MayTake(instant sent, const table_row& row) const {
+  if (row.version != seen_version_) {
+    return false;
+  }
+  if (row.version == 0 || seen_.is_released) {
+    return true;
+  }
+  return sent - seen_since_ >= std::max(options_.term, seen_.term);
+}
+
+void lease::CheckClock(instant now) {
+  CheckInvariant(now >= last_now_, "monotonic_clock_never_goes_back");
+  last_now_ = std::max(last_now_, now);
+}
+
+void lease::Observe(instant now, const table_row& row, const row_state& state) {
+  if (row.version == seen_version_ && row.version != 0) {
+    return;
+  }
+  seen_version_ = row.version;
+  seen_since_ = now;
+  if (row.version == 0) {
+    seen_.is_released = true;
+    seen_holder_.clear();
+    return;
+  }
+  seen_ = state;
+  seen_holder_ = state.is_released ? std::string() : state.holder;
+}
+
+// Takes in a row that is not older than the last one seen.
+void lease::Settle(instant now, const table_row& row, const row_state& state) {
+  const auto own = std::find_if(
+      unsettled_.begin(), unsettled_.end(), [&](const sent_write& write) {
+        return IsOwn(state) && write.write_number == state.write_number &&
+               write.epoch == state.epoch;
+      });
+  if (own != unsettled_.end()) {
+    counters_.Add("lease_settled_by_read");
+    Hold(*own, row.version);
+  } else if (is_held_ && !(IsOwn(state) && state.epoch == epoch_)) {
+    Lose();
+  } else if (is_held_ && is_guard_unsettled_) {
+    row_version_ = row.version;
+    row_value_ = row.value;
+    is_guard_unsettled_ = false;
+  }
+  Observe(now, row, state);
+}
+
+// `write` took effect not before it was sent, and a process that sees it waits
+// for a whole term from then on: until `sent` + term nobody else acts.
+void lease::Hold(const sent_write& write, std::uint64_t version) {
+  CheckInvariant(write.epoch >= epoch_, "lease_epoch_never_falls");
+  if (!is_held_) {
+    counters_.Add("lease_taken");
+  }
+  is_held_ = true;
+  epoch_ = write.epoch;
+  row_version_ = version;
+  row_value_ = write.value;
+  valid_until_ = std::max(valid_until_, write.sent + options_.term);
+  seen_ = Decode(write.value);
+  seen_version_ = version;
+  seen_holder_ = options_.holder.value;
+  is_guard_unsettled_ = false;
+  // Earlier writes expect a version that is gone.
+  unsettled_.clear();
+}
+
+void lease::Lose() {
+  is_held_ = false;
+  unsettled_.clear();
+  counters_.AddError(error_kind::kLeaseLost);
+}
+
+table_write lease::Prepare(instant sent,
+                           std::uint64_t epoch,
+                           std::uint64_t expected_version,
+                           const std::string& base) {
+  std::uint64_t write_number = seen_.write_number;
+  for (const sent_write& write : unsettled_) {
+    write_number = std::max(write_number, write.write_number);
+  }
+  row_state state;
+  state.holder = options_.holder.value;
+  state.incarnation = options_.incarnation;
+  state.epoch = epoch;
+  state.write_number = write_number + 1;
+  state.term = options_.term;
+  if (unsettled_.size() >= kMaxUnsettled) {
+    unsettled_.erase(unsettled_.begin());
+  }
+  unsettled_.push_back({sent, epoch, state.write_number, Encode(state, base)});
+  return {options_.key, expected_version, unsettled_.back().value};
+}
+
+// The rows of a conflict are current, not lagging.
+void lease::OnConflict(instant now, const commit_answer& answer) {
+  const table_row* row = FindRow(answer.rows, options_.key);
+  if (row == nullptr) {
+    return;
+  }
+  const row_state state = Decode(row->value);
+  if (state.is_malformed) {
+    return;
+  }
+  counters_.Add("lease_conflict");
+  is_guard_unsettled_ = true;
+  Settle(now, *row, state);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/tests/fake_table.h
@@ -0,0 +1,79 @@
+#ifndef SASSAFRAS_TESTS_FAKE_TABLE_H_
+#define SASSAFRAS_TESTS_FAKE_TABLE_H_
+
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "sassafras/platform/table_port.h"
+
+namespace sassafras {
+
+/// A table service in memory that answers at once, with the failures of the
+/// real one on request.
+class fake_table {
+ public:
+  commit_answer Commit(const table_transaction& transaction) {
+    if (is_down) {
+      return {answer_state::kNotDone, error_kind::kStoreUnavailable, {}};
+    }
+    std::vector<table_row> conflicts;
+    for (const table_write& write : transaction) {
+      if (Read(write.key).version != write.expected_version) {
+        conflicts.push_back(Read(write.key));
+      }
+    }
+    if (!conflicts.empty()) {
+      return {answer_state::kNotDone, error_kind::kConflict, conflicts};
+    }
+    ++revision_;
+    ++commits;
+    std::vector<table_row> written;
+    for (const table_write& write : transaction) {
+      rows[write.key] = {write.key, write.value, revision_};
+      written.push_back({write.key, "", revision_});
+    }
+    if (loses_answer) {
+      return {answer_state::kUnknown, error_kind::kStoreUnknown, {}};
+    }
+    return {answer_state::kDone, error_kind::kInternal, written};
+  }
+
+  table_row Read(const std::string& key) const {
+    const auto it = rows.find(key);
+    return it == rows.end() ? table_row{key, "", 0} : it->second;
+  }
+
+  /// A port that answers at once.
+  table_port Port() {
+    table_port port;
+    port.commit = [this](const table_transaction& transaction,
+                         const std::function<void(commit_answer)>& done) {
+      done(Commit(transaction));
+    };
+    port.read = [this](const std::vector<std::string>& keys,
+                       const std::function<void(read_answer)>& done) {
+      read_answer answer{is_down ? answer_state::kNotDone : answer_state::kDone,
+                         {}};
+      for (const std::string& key : keys) {
+        answer.rows.push_back(Read(key));
+      }
+      done(std::move(answer));
+    };
+    return port;
+  }
+
+  bool is_down = false;
+  bool loses_answer = false;
+  int commits = 0;
+  std::map<std::string, table_row> rows;
+
+ private:
+  std::uint64_t revision_ = 0;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_TESTS_FAKE_TABLE_H_
