--- a/programs/gateway/job_api.h
+++ b/programs/gateway/job_api.h
@@ -2,9 +2,15 @@
 #define SASSAFRAS_PROGRAMS_GATEWAY_JOB_API_H_
 
 #include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
 #include <string>
 
 #include "programs/shell/node.h"
+#include "sassafras/config/access.h"
+#include "sassafras/job/planner.h"
+#include "sassafras/job/submission.h"
 
 namespace sassafras {
 
@@ -27,7 +33,38 @@
   void Stop(std::function<void()> done);
 
  private:
+  // One operation under way: what it decides and how it is answered.
+  template <class Operation>
+  struct pending {
+    Operation operation;
+    http_reply reply;
+    int success_status;
+  };
+
+  void Submit(const config_ptr& config,
+              const caller_identity& caller,
+              const http_exchange& exchange);
+  void Show(const caller_identity& caller,
+            const std::string& id,
+            const http_exchange& exchange);
+  void Cancel(const caller_identity& caller,
+              const std::string& id,
+              const http_exchange& exchange);
+  template <class Operation>
+  void Carry(job::api_step step,
+             const std::shared_ptr<pending<Operation>>& work);
+  void Refuse(const http_reply& reply, const error& failure);
+  std::optional<error> CheckFit(const job_row& row);
+  bool Begin(const http_reply& reply);
+  void Finish();
+
   node& node_;
+  std::mutex mutex_;  // Below the node's configuration lock.
+  counter_table planner_counters_;
+  std::unique_ptr<planner> fit_;
+  int in_progress_ = 0;
+  bool is_stopping_ = false;
+  std::function<void()> on_stopped_;
 };
 
 }  // namespace sassafras
--- a/src/job/job_core.cc
+++ b/src/job/job_core.cc
@@ -260,8 +260,8 @@
 
 void job_core::impl::SendRenewals() {
   const bool is_fresh =
-      last_scan_answer_ && now_ - *last_scan_answer_ <=
-                               options_.standby_scan + options_.lease_margin;
+      last_store_contact_ && now_ - *last_store_contact_ <=
+                                 options_.standby_scan + options_.lease_margin;
   const bool is_standing_in =
       mode_ == mode::kStandby && !ownership_.is_other_alive && is_fresh;
   if (mode_ == mode::kStandby && !is_standing_in) {
