--- a/src/job/job_row.cc
+++ b/src/job/job_row.cc
@@ -253,7 +253,8 @@
     if (!IsConsistent(row)) {
       return Fail(error_kind::kMalformed, std::string(key));
     }
-    for (const auto& [name, value] : KnownFields(row).items()) {
+    const json known = KnownFields(row);
+    for (const auto& [name, value] : known.items()) {
       document.erase(name);
     }
     if (!document.empty()) {
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -1,6 +1,8 @@
 #ifndef SASSAFRAS_TESTS_FAKE_TABLE_H_
 #define SASSAFRAS_TESTS_FAKE_TABLE_H_
 
+#include <algorithm>
+#include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
@@ -32,8 +34,12 @@
     ++commits;
     std::vector<table_row> written;
     for (const table_write& write : transaction) {
-      rows[write.key] = {write.key, write.value, revision_};
-      written.push_back({write.key, "", revision_});
+      if (write.erase) {
+        rows.erase(write.key);
+      } else {
+        rows[write.key] = {write.key, write.value, revision_};
+      }
+      written.push_back({write.key, "", write.erase ? 0 : revision_});
     }
     if (loses_answer) {
       return {answer_state::kUnknown, error_kind::kStoreUnknown, {}};
@@ -46,6 +52,23 @@
     return it == rows.end() ? table_row{key, "", 0} : it->second;
   }
 
+  read_answer Scan(const std::string& prefix,
+                   const std::string& after,
+                   std::size_t limit) const {
+    if (is_down) {
+      return {answer_state::kNotDone, {}};
+    }
+    read_answer answer{answer_state::kDone, {}};
+    for (auto it = rows.upper_bound(std::max(prefix, after)); it != rows.end();
+         ++it) {
+      if (it->first.rfind(prefix, 0) != 0 || answer.rows.size() == limit) {
+        break;
+      }
+      answer.rows.push_back(it->second);
+    }
+    return answer;
+  }
+
   /// A port that answers at once.
   table_port Port() {
     table_port port;
