Close the waking caller before the scripted server's thread is joined

Cause: three HTTP tests hung since the waking caller was given a name: it then lived until after the join, and the server waited for it to close.

--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -148,7 +148,10 @@
 
   ~scripted_server() {
     stopping_ = true;
-    const raw_caller wake(acceptor_.local_endpoint().port());
+    {
+      // Wakes the accepting thread, which reads until this caller closes.
+      const raw_caller wake(acceptor_.local_endpoint().port());
+    }
     thread_.join();
   }
   scripted_server(const scripted_server&) = delete;
