--- a/include/sassafras/job/job_core.h
+++ b/include/sassafras/job/job_core.h
@@ -26,7 +26,7 @@
   duration resend_interval{1'000'000};  ///< Of an unanswered task call.
   duration marker_interval{500'000};    ///< Between scans of markers.
   duration standby_scan{10'000'000};    ///< Between scans while not the owner.
-  duration explain_interval{15'000'000};  ///< Between reasons of one job.
+  duration longest_outage{900'000'000};  ///< Renewals without the store.
   std::size_t scan_limit = 500;           ///< Rows of one scan.
   std::size_t max_rows_per_commit = 64;
   int max_losses = 20;  ///< Attempts lost to workers before a job ends.
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -31,6 +31,9 @@
 /// check, publish, get, ...: what concerns configuration.
 std::vector<ctl_command> ConfigCommands();
 
+/// submit, status, cancel: what concerns jobs.
+std::vector<ctl_command> JobCommands();
+
 }  // namespace sassafras
 
 #endif  // SASSAFRAS_PROGRAMS_CTL_COMMANDS_H_
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -1,5 +1,6 @@
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <utility>
 
 #include "programs/ctl/commands.h"
 
@@ -43,7 +44,10 @@
 }
 
 int Main(int argc, const char* const* argv) {
-  const std::vector<ctl_command> commands = ConfigCommands();
+  std::vector<ctl_command> commands = ConfigCommands();
+  for (ctl_command& command : JobCommands()) {
+    commands.push_back(std::move(command));
+  }
   po::options_description options("Options");
   options.add_options()("help", "print this text")("version",
                                                    "print the version")(
--- a/src/job/job_core.cc
+++ b/src/job/job_core.cc
@@ -17,7 +17,7 @@
 }  // namespace
 
 job_core::job_core(job_core_options options, counter_table& counters)
-    : impl_(std::make_unique<impl>(std::move(options), counters)) {}
+    : impl_(std::make_unique<impl>(options, counters)) {}
 
 job_core::~job_core() = default;
 
@@ -44,7 +44,7 @@
 }
 
 job_core::impl::impl(job_core_options options, counter_table& counters)
-    : options_(std::move(options)),
+    : options_(options),
       counters_(counters),
       health_(options_.health, counters),
       writer_(options_.max_rows_per_commit, counters),
@@ -259,9 +259,12 @@
 }
 
 void job_core::impl::SendRenewals() {
-  const bool is_fresh =
-      last_store_contact_ && now_ - *last_store_contact_ <=
-                                 options_.standby_scan + options_.lease_margin;
+  // What was read too long ago may have been stopped by an owner that still
+  // has the store.
+  const bool is_fresh = last_store_contact_ && last_good_contact_ &&
+                        now_ - *last_store_contact_ <=
+                            options_.standby_scan + options_.lease_margin &&
+                        now_ - *last_good_contact_ <= options_.longest_outage;
   const bool is_standing_in =
       mode_ == mode::kStandby && !ownership_.is_other_alive && is_fresh;
   if (mode_ == mode::kStandby && !is_standing_in) {
--- a/src/job/job_core_impl.h
+++ b/src/job/job_core_impl.h
@@ -67,6 +67,7 @@
   void Adopt(const table_row& row, std::int64_t wall_ms);
   void AddToPlanner(tracked_job& job);
   void TakeMarked(const table_row& row, std::int64_t wall_ms);
+  void NoteContact(instant sent, const read_answer& answer);
   void OnMarkers(const rows_scanned& event);
   void OnRecorded(job_row row, std::uint64_t version);
   void EnterState(tracked_job& job, job_state before);
@@ -129,6 +130,7 @@
   instant marker_scan_sent_;
   // Sending time of the last scan that was answered, well or not.
   std::optional<instant> last_store_contact_;
+  std::optional<instant> last_good_contact_;  // Of the last answered well.
 };
 
 }  // namespace sassafras::job
--- a/src/job/job_records.cc
+++ b/src/job/job_records.cc
@@ -36,14 +36,14 @@
 
 void job_core::impl::On(const rows_scanned& event) {
   if (marker_scanner_.Owns(event)) {
-    last_store_contact_ = marker_scan_sent_;
+    NoteContact(marker_scan_sent_, event.answer);
     OnMarkers(event);
     return;
   }
   if (!scanner_.Owns(event)) {
     return;
   }
-  last_store_contact_ = scan_sent_;
+  NoteContact(scan_sent_, event.answer);
   if (auto next = scanner_.OnPage(event)) {
     scan_sent_ = now_;
     actions_.emplace_back(std::move(*next));
@@ -57,6 +57,13 @@
   }
 }
 
+void job_core::impl::NoteContact(instant sent, const read_answer& answer) {
+  last_store_contact_ = sent;
+  if (answer.state == answer_state::kDone) {
+    last_good_contact_ = sent;
+  }
+}
+
 void job_core::impl::AdoptAll(const std::vector<table_row>& rows,
                               std::int64_t wall_ms) {
   jobs_.clear();
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -138,6 +138,14 @@
     all[index].epoch = ++epoch;
   }
 
+  /// Puts a configuration in force in every scheduler.
+  void Publish(const config_ptr& next) {
+    config = next;
+    for (int i = 0; i < static_cast<int>(all.size()); ++i) {
+      Send(i, job::config_changed{config});
+    }
+  }
+
   void Kill(int index) { all[index].is_dead = true; }
 
   /// Runs virtual time on.
