Add the request path: order, slots, claims and answers

Cause: the gateway refused every request. The decisions are plain code in request_core: admission, queues by floor, urgency, share and deadline, slot shares and loans, choice of minion, claims in the table service, retries. request_service carries the actions out through the node's ports.

Ruled out: a static split of slots (9 gateways over 8 slots leave one with none), an owner gateway per minion with forwarding (a hop and another body in memory for 8 of 9 requests). Chosen: the slots of each minion are dealt to the live gateways by name, unused ones are lent by numbered messages without clocks, connections are split over all gateways that settings name.

--- /dev/null
+++ b/include/sassafras/request/minion_pool.h
@@ -0,0 +1,133 @@
+#ifndef SASSAFRAS_REQUEST_MINION_POOL_H_
+#define SASSAFRAS_REQUEST_MINION_POOL_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sassafras/core/counter_table.h"
+#include "sassafras/core/random.h"
+#include "sassafras/request/request_events.h"
+#include "sassafras/request/slot_loans.h"
+
+namespace sassafras {
+
+/// How a send to a minion went, as far as it tells of the minion's health.
+enum class send_verdict : std::uint8_t {
+  kGood,     ///< A whole answer that is no failure.
+  kBad,      ///< A failure, a lost answer, or no connection.
+  kSlow,     ///< Another send of the same request was faster by far.
+  kNeutral,  ///< It tells nothing, e.g. the caller left.
+};
+
+/// What the request needs of its minion.
+struct minion_need {
+  bool is_urgent = false;
+  bool is_idempotent = true;
+  std::set<minion_id> avoid;  ///< Tried before for this request.
+};
+
+/// The minions of one target as this gateway sees them: slots it may use,
+/// sends in progress, health. Not safe for concurrent use.
+class minion_pool {
+ public:
+  minion_pool(place_id place, slot_loans& loans, counter_table& counters)
+      : place_(std::move(place)), loans_(loans), counters_(counters) {}
+
+  /// Takes in the target's definition. A minion with sends in progress is
+  /// kept until they end.
+  void Configure(const target& definition, int gateway_count, instant now);
+
+  /// Sets this gateway's index among the live ones; members 0: no slots. Slots
+  /// gained by a change are used kSlotHandover later.
+  void SetMembers(int member, int members, instant now);
+
+  void SetLeaving(const std::set<minion_id>& leaving);
+
+  /// The minion itself said that it is leaving.
+  void NoteRefusal(const minion_id& minion, instant now);
+
+  /// Chooses a minion with a free slot, or empty.
+  std::optional<minion_id> Choose(const minion_need& need,
+                                  instant now,
+                                  random_engine& random) const;
+
+  /// A send to `minion` holds a slot from now on.
+  void Start(const minion_id& minion);
+
+  /// It no longer does. `verdict` tells how it went.
+  void Finish(const minion_id& minion,
+              send_verdict verdict,
+              instant now,
+              random_engine& random);
+
+  /// Slots that this gateway may use in all, in work or not.
+  int Slots(instant now) const;
+
+  /// Slots that are free now.
+  int FreeSlots(instant now) const;
+
+  /// Whether any minion may take work, now or later.
+  bool HasMinions(instant now) const;
+
+  /// Up to `count` free slots of its own to lend, at most one per minion.
+  std::vector<minion_id> FreeOwnSlots(int count, instant now) const;
+
+  /// Gives borrowed slots back that are past their time.
+  void GiveBack(instant now);
+
+  const std::string& Address(const minion_id& minion) const;
+  int InWork(const minion_id& minion) const;
+  int TotalInWork() const { return total_in_work_; }
+  int MaxConnections(const minion_id& minion) const;
+  bool IsLeaving(const minion_id& minion, instant now) const;
+
+  /// Addresses of minions that began to leave since the last call.
+  std::vector<std::string> TakeClosing();
+
+  /// When slots or minions become usable by time alone.
+  std::optional<instant> NextWake(instant now) const;
+
+ private:
+  struct minion_state {
+    minion definition;
+    bool is_configured = true;
+    bool is_listed_leaving = false;
+    instant refused_until;  ///< After its own refusal.
+    int share = 0;          ///< Slots that may be used before gain_from.
+    int next_share = 0;     ///< From gain_from on.
+    instant gain_from;
+    int max_connections = 0;
+    int in_work = 0;
+    int bad_in_row = 0;
+    instant suspect_until;  ///< Others are preferred until then.
+    int ejections = 0;
+    int good_since = 0;  ///< Good answers since it was new or came back.
+    instant ejected_until;
+  };
+
+  static int Share(const minion_state& item, instant now);
+  void UpdateShare(minion_state& item, instant now) const;
+  int OwnSlots(const minion_state& item, instant now) const;
+  int Free(const minion_state& item, instant now) const;
+  bool MayTakeWork(const minion_state& item, instant now) const;
+  bool IsProbation(const minion_state& item, instant now) const;
+  void Eject(minion_state& item, instant now, random_engine& random);
+  int Ejected(instant now) const;
+
+  place_id place_;
+  slot_loans& loans_;
+  counter_table& counters_;
+  std::map<minion_id, minion_state> minions_;
+  std::vector<std::string> closing_;
+  int total_in_work_ = 0;
+  int member_ = 0;
+  int members_ = 0;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_REQUEST_MINION_POOL_H_
--- a/include/sassafras/request/request_events.h
+++ b/include/sassafras/request/request_events.h
@@ -29,6 +29,14 @@
 /// One operation on the platform's store. Chosen by the core, never reused.
 using store_call_id = std::uint64_t;
 
+/// Time from a change of membership until slots that a gateway gained by it
+/// are used: the others have stopped using them by then.
+inline constexpr duration kSlotHandover = std::chrono::seconds(1);
+
+/// A process that heard of nothing for this long after a time of NextWake()
+/// was paused: it uses no slots until the next members_changed.
+inline constexpr duration kPauseLimit = std::chrono::seconds(3);
+
 /// A gateway that is alive.
 struct gateway_member {
   process_id id;
@@ -39,6 +47,7 @@
 
 /// A message between gateways about lent slots.
 struct slot_message {
+  target_id target;  ///< Of whose minions the slots are.
   gateway_member from;
   std::string to_incarnation;  ///< Start of the receiver it is meant for.
   std::uint64_t number = 0;    ///< Grows with each message to this receiver.
@@ -94,8 +103,8 @@
 /// A read of load_answer has ended. Its status and body stay in the shell.
 struct answer_loaded {
   request_id request = 0;
-  bool is_found = false;   ///< The whole answer was read.
-  bool is_absent = false;  ///< The store answered that there is none.
+  bool is_found = false;  ///< The whole answer was read.
+  int status = 0;         ///< HTTP status of the minion, if found.
 };
 
 /// A newer configuration came into force.
@@ -103,8 +112,9 @@
   config_ptr config;
 };
 
-/// The set of live gateways changed. Without this process in it, nothing is
-/// dispatched.
+/// The set of live gateways, given at each refresh, also if it is the same.
+/// Without this process in it, nothing is dispatched. Slots that this process
+/// gains by a change are used after kSlotHandover.
 struct members_changed {
   std::vector<gateway_member> gateways;
 };
--- /dev/null
+++ b/include/sassafras/request/service_time.h
@@ -0,0 +1,68 @@
+#ifndef SASSAFRAS_REQUEST_SERVICE_TIME_H_
+#define SASSAFRAS_REQUEST_SERVICE_TIME_H_
+
+#include <algorithm>
+#include <cstdlib>
+
+#include "sassafras/core/time.h"
+
+namespace sassafras {
+
+/// Smoothed time from send to answer, with its mean deviation.
+class service_time {
+ public:
+  void Add(duration sample) {
+    if (count_ == 0) {
+      mean_ = sample;
+      deviation_ = sample / 2;
+    } else {
+      const duration difference = sample - mean_;
+      mean_ += difference / kMeanWeight;
+      deviation_ +=
+          (std::chrono::abs(difference) - deviation_) / kDeviationWeight;
+    }
+    count_ = std::min(count_ + 1, kEnough);
+  }
+
+  /// Whether enough samples were taken to decide by them.
+  bool IsKnown() const { return count_ >= kEnough; }
+
+  duration Mean() const { return mean_; }
+  duration Deviation() const { return deviation_; }
+
+ private:
+  static constexpr int kMeanWeight = 16;
+  static constexpr int kDeviationWeight = 16;
+  static constexpr int kEnough = 20;
+
+  duration mean_{0};
+  duration deviation_{0};
+  int count_ = 0;
+};
+
+/// Limits further sends to a share of first ones, so that an outage does not
+/// multiply load.
+class retry_budget {
+ public:
+  /// A request was sent for the first time.
+  void OnFirst() { tokens_ = std::min(kMost, tokens_ + kShare); }
+
+  /// Whether another send is allowed now; takes its cost.
+  bool TryTake() {
+    if (tokens_ < 1.0) {
+      return false;
+    }
+    tokens_ -= 1.0;
+    return true;
+  }
+
+ private:
+  static constexpr double kShare = 0.1;
+  static constexpr double kMost = 50.0;
+
+  double tokens_ = 10.0;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_REQUEST_SERVICE_TIME_H_
--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -1,20 +1,375 @@
 #include "programs/gateway/request_service.h"
 
+#include <algorithm>
+#include <charconv>
+#include <optional>
+#include <random>
+#include <sstream>
+
+#include "programs/gateway/request_codec.h"
+#include "sassafras/core/digest.h"
+
 namespace sassafras {
+namespace {
+
+constexpr duration kMembersInterval = std::chrono::milliseconds(500);
+constexpr duration kLeavingInterval = std::chrono::seconds(1);
+constexpr std::string_view kSchedulerPrefix = "scheduler";
+constexpr std::string_view kMinionPath = "/v1/requests/";
+
+std::string MakeIncarnation() {
+  std::random_device source;
+  std::ostringstream text;
+  text << std::hex << source() << source();
+  return text.str();
+}
+
+bool IsGateway(const process_id& id) {
+  return id.value.rfind(kSchedulerPrefix, 0) != 0;
+}
+
+request_options MakeOptions(const process_settings& settings,
+                            const gateway_member& self) {
+  request_options options;
+  options.self = self;
+  options.place = settings.place;
+  const auto others = std::count_if(
+      settings.peers.begin(), settings.peers.end(), [&](const auto& peer) {
+        return IsGateway(peer.id) && peer.id != settings.id;
+      });
+  options.gateway_count = 1 + static_cast<int>(others);
+  return options;
+}
+
+// Reads a whole number of milliseconds; empty if it is none.
+std::optional<duration> ParseTimeout(const std::string& text) {
+  if (text.empty()) {
+    return duration(0);
+  }
+  constexpr std::int64_t kMostMilliseconds = 86'400'000;
+  std::int64_t value = 0;
+  const auto [end, code] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (code != std::errc() || end != text.data() + text.size() || value <= 0 ||
+      value > kMostMilliseconds) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(value);
+}
+
+}  // namespace
+
+request_service::request_service(node& owner)
+    : node_(owner),
+      self_{owner.Settings().id, MakeIncarnation()},
+      random_(std::random_device{}()),
+      core_(MakeOptions(owner.Settings(), self_), owner.Counters()) {
+  RefreshMembers();
+  node_.Every(kMembersInterval, [this] { RefreshMembers(); });
+  node_.Every(kLeavingInterval, [this] { RefreshLeaving(); });
+}
 
 void request_service::Handle(http_exchange exchange,
                              const std::string& class_name) {
-  node_.Counters().AddError(error_kind::kNoMinion);
-  exchange.reply(ErrorResponse(Fail(error_kind::kNoMinion, class_name)));
+  const http_request& message = exchange.request;
+  const auto timeout = ParseTimeout(message.Header("x-timeout-ms"));
+  if (message.method != "POST" || !timeout) {
+    node_.Counters().AddError(error_kind::kMalformed);
+    exchange.reply(ErrorResponse(
+        Fail(error_kind::kMalformed, timeout ? "method" : "x-timeout-ms")));
+    return;
+  }
+  request_arrived event;
+  event.class_name.value = class_name;
+  event.authorization = message.Header("authorization");
+  event.key = message.Header("idempotency-key");
+  event.timeout = *timeout;
+  if (!event.key.empty()) {
+    event.body_sha256 = Sha256Hex(message.body);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    event.request = next_request_++;
+    open_request& added = open_[event.request];
+    added.reply = exchange.reply;
+    added.body =
+        std::make_shared<const std::string>(std::move(exchange.request.body));
+  }
+  exchange.on_gone([this, id = event.request] { Give(caller_gone{id}); });
+  Give(event);
+}
+
+// Gives one event to the decisions and carries out what they ask for.
+void request_service::Give(const request_event& event) {
+  tasks planned;
+  {
+    const std::lock_guard lock(mutex_);
+    for (request_action& action : core_.Handle(event, Now(), random_)) {
+      planned.push_back(std::visit(
+          [this](auto& item) { return Plan(std::move(item)); }, action));
+    }
+    PlanWake(planned);
+  }
+  for (const task& item : planned) {
+    if (item) {
+      item();
+    }
+  }
+}
+
+void request_service::PlanWake(tasks& planned) {
+  const auto wake = core_.NextWake();
+  if (!wake || *wake >= armed_at_) {
+    return;
+  }
+  armed_at_ = *wake;
+  planned.emplace_back([this, at = *wake] {
+    node_.After(std::max(duration(0), at - Now()), [this, at] {
+      {
+        const std::lock_guard lock(mutex_);
+        if (armed_at_ == at) {
+          armed_at_ = instant::max();
+        }
+      }
+      Give(time_passed{});
+    });
+  });
+}
+
+request_service::task request_service::Plan(reply_error action) {
+  return [reply = open_[action.request].reply, action = std::move(action)] {
+    http_response response = ErrorResponse(action.failure, action.outcome);
+    response.headers["x-sassafras-outcome"] =
+        std::string(GetName(action.outcome));
+    if (action.retry_after > duration(0)) {
+      const auto seconds =
+          std::chrono::ceil<std::chrono::seconds>(action.retry_after);
+      response.headers["retry-after"] = std::to_string(seconds.count());
+    }
+    reply(std::move(response));
+  };
+}
+
+void request_service::Reply(const http_reply& reply,
+                            const minion_answer& answer) const {
+  http_response response;
+  response.headers["x-sassafras-outcome"] =
+      std::string(GetName(run_outcome::kRan));
+  response.body = answer.body;
+  reply(std::move(response));
+}
+
+request_service::task request_service::Plan(const reply_answer& action) {
+  const open_request& open = open_[action.request];
+  return [this, reply = open.reply, answer = open.answers.at(action.send)] {
+    Reply(reply, answer);
+  };
+}
+
+request_service::task request_service::Plan(const reply_stored& action) {
+  const open_request& open = open_[action.request];
+  return [this, reply = open.reply, answer = open.stored] {
+    Reply(reply, answer);
+  };
+}
+
+request_service::task request_service::Plan(send_request action) {
+  minion_request message;
+  message.path = std::string(kMinionPath) + action.class_name.value;
+  message.key = action.key;
+  message.body = open_[action.request].body;
+  message.connection = action.connection;
+  message.timeout = action.timeout;
+  return [this, action = std::move(action), message = std::move(message)] {
+    cancel_function cancel =
+        node_.Minions().send(action.address, message,
+                             [this, request = action.request,
+                              send = action.send](minion_answer answer) {
+                               OnSendEnded(request, send, std::move(answer));
+                             });
+    bool is_cancelled = false;
+    {
+      const std::lock_guard lock(mutex_);
+      is_cancelled = early_cancels_.erase(action.send) > 0;
+      const auto it = cancels_.find(action.send);
+      if (it == cancels_.end()) {
+        cancels_[action.send] = cancel;
+      } else {
+        cancels_.erase(it);  // It has ended already.
+      }
+    }
+    if (is_cancelled) {
+      cancel();
+    }
+  };
 }
 
-void request_service::OnConfig(const config_ptr& /*config*/) {}
+void request_service::OnSendEnded(request_id request,
+                                  send_id send,
+                                  minion_answer answer) {
+  send_ended event{send, answer.state, answer.status, answer.refused_leaving};
+  {
+    const std::lock_guard lock(mutex_);
+    const auto cancel = cancels_.find(send);
+    if (cancel == cancels_.end()) {
+      cancels_[send] = nullptr;  // It ended before send() returned.
+    } else {
+      cancels_.erase(cancel);
+    }
+    early_cancels_.erase(send);
+    const auto open = open_.find(request);
+    if (open != open_.end() && answer.state == answer_state::kDone) {
+      open->second.answers[send] = std::move(answer);
+    }
+  }
+  Give(event);
+  const std::lock_guard lock(mutex_);
+  early_cancels_.erase(send);  // Of a cancel that was decided meanwhile.
+}
+
+request_service::task request_service::Plan(const cancel_send& action) {
+  const auto it = cancels_.find(action.send);
+  if (it == cancels_.end()) {
+    early_cancels_.insert(action.send);
+    return nullptr;
+  }
+  return it->second;
+}
+
+request_service::task request_service::Plan(const trim_connections& action) {
+  return [this, action] { node_.Minions().trim(action.address, action.keep); };
+}
+
+request_service::task request_service::Plan(commit_rows action) {
+  return [this, action = std::move(action)] {
+    node_.Table().commit(action.transaction,
+                         [this, call = action.call](commit_answer answer) {
+                           Give(rows_committed{call, std::move(answer)});
+                         });
+  };
+}
+
+request_service::task request_service::Plan(read_rows action) {
+  return [this, action = std::move(action)] {
+    node_.Table().read(action.keys,
+                       [this, call = action.call](read_answer answer) {
+                         Give(rows_read{call, std::move(answer)});
+                       });
+  };
+}
+
+request_service::task request_service::Plan(const store_answer& action) {
+  const minion_answer& answer = open_[action.request].answers.at(action.send);
+  return [this, action, value = EncodeStoredAnswer(answer)] {
+    node_.Objects().put(action.object, value,
+                        [this, request = action.request](answer_state state) {
+                          Give(answer_stored{request, state});
+                        });
+  };
+}
+
+request_service::task request_service::Plan(const load_answer& action) {
+  return [this, action] {
+    node_.Objects().get(action.object, [this, request = action.request](
+                                           const object_answer& answer) {
+      OnLoaded(request, answer);
+    });
+  };
+}
+
+void request_service::OnLoaded(request_id request,
+                               const object_answer& answer) {
+  answer_loaded event{request, false, 0};
+  if (answer.state == answer_state::kDone && answer.exists) {
+    if (auto stored = DecodeStoredAnswer(answer.value)) {
+      event.is_found = true;
+      event.status = stored->status;
+      const std::lock_guard lock(mutex_);
+      const auto open = open_.find(request);
+      if (open != open_.end()) {
+        open->second.stored = std::move(*stored);
+      }
+    }
+  }
+  Give(event);
+}
+
+request_service::task request_service::Plan(const send_slots& action) {
+  const auto& peers = node_.Settings().peers;
+  const auto peer =
+      std::find_if(peers.begin(), peers.end(),
+                   [&](const auto& item) { return item.id == action.to; });
+  if (peer == peers.end()) {
+    return nullptr;
+  }
+  return
+      [this, address = peer->address,
+       message = EncodeSlotMessage(action.message, node_.Settings().cluster)] {
+        if (!node_.Peers().send(address, message)) {
+          node_.Counters().Add("slot_message_dropped");
+        }
+      };
+}
+
+request_service::task request_service::Plan(const request_ended& action) {
+  open_.erase(action.request);
+  return nullptr;
+}
+
+request_service::task request_service::Plan(const stop_completed& /*action*/) {
+  return on_stopped_;
+}
 
-void request_service::OnPeer(const std::string& /*kind*/,
-                             const std::string& /*body*/) {}
+void request_service::OnConfig(const config_ptr& config) {
+  Give(config_changed{config});
+}
+
+void request_service::OnPeer(const std::string& kind, const std::string& body) {
+  if (kind != kSlotMessageKind) {
+    return;
+  }
+  auto message = DecodeSlotMessage(body);
+  if (!message) {
+    node_.Counters().Add("peer_message_malformed");
+    return;
+  }
+  Give(slots_received{std::move(*message)});
+}
 
 void request_service::Stop(std::function<void()> done) {
-  done();
+  {
+    const std::lock_guard lock(mutex_);
+    on_stopped_ = std::move(done);
+  }
+  Give(stop_requested{});
+}
+
+// Until membership is known, every gateway of the settings counts as alive.
+void request_service::RefreshMembers() {
+  members_changed event;
+  event.gateways.push_back(self_);
+  for (const peer_settings& peer : node_.Settings().peers) {
+    if (IsGateway(peer.id) && peer.id != self_.id) {
+      event.gateways.push_back({peer.id, {}});
+    }
+  }
+  Give(event);
+}
+
+void request_service::RefreshLeaving() {
+  node_.VmList().list([this](const vm_list_answer& answer) {
+    if (answer.state != answer_state::kDone) {
+      node_.Counters().Add("vm_list_read_failed");
+      return;
+    }
+    leaving_listed event;
+    for (const vm_entry& entry : answer.entries) {
+      if (entry.leaving) {
+        event.leaving.insert({entry.name});
+      }
+    }
+    Give(event);
+  });
 }
 
 }  // namespace sassafras
--- a/programs/gateway/request_service.h
+++ b/programs/gateway/request_service.h
@@ -2,17 +2,25 @@
 #define SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_SERVICE_H_
 
 #include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "programs/shell/node.h"
+#include "sassafras/request/request_core.h"
 
 namespace sassafras {
 
 /// Serves POST /v1/requests/CLASS: turns exchanges, answers of the ports and
 /// timers into events of the request decisions, and carries out their actions.
+/// Safe to use from several threads: one mutex guards the decisions and the
+/// bodies; no port is called with it held.
 class request_service {
  public:
-  explicit request_service(node& owner) : node_(owner) {}
+  explicit request_service(node& owner);
 
   /// Answers one request. `class_name` is the part of the path after
   /// "/v1/requests/".
@@ -28,7 +36,48 @@
   void Stop(std::function<void()> done);
 
  private:
+  /// What is kept of a request until request_ended.
+  struct open_request {
+    http_reply reply;
+    std::shared_ptr<const std::string> body;
+    std::map<send_id, minion_answer> answers;
+    minion_answer stored;  ///< Read from the object store.
+  };
+  using task = std::function<void()>;
+  using tasks = std::vector<task>;
+
+  void Give(const request_event& event);
+  task Plan(reply_error action);
+  task Plan(const reply_answer& action);
+  task Plan(const reply_stored& action);
+  task Plan(send_request action);
+  task Plan(const cancel_send& action);
+  task Plan(const trim_connections& action);
+  task Plan(commit_rows action);
+  task Plan(read_rows action);
+  task Plan(const store_answer& action);
+  task Plan(const load_answer& action);
+  task Plan(const send_slots& action);
+  task Plan(const request_ended& action);
+  task Plan(const stop_completed& action);
+  void PlanWake(tasks& planned);
+  void Reply(const http_reply& reply, const minion_answer& answer) const;
+  void OnSendEnded(request_id request, send_id send, minion_answer answer);
+  void OnLoaded(request_id request, const object_answer& answer);
+  void RefreshMembers();
+  void RefreshLeaving();
+
   node& node_;
+  gateway_member self_;
+  std::mutex mutex_;
+  random_engine random_;
+  request_core core_;
+  request_id next_request_ = 1;
+  std::map<request_id, open_request> open_;
+  std::map<send_id, cancel_function> cancels_;
+  std::set<send_id> early_cancels_;  ///< Cancelled before the send began.
+  instant armed_at_ = instant::max();
+  std::function<void()> on_stopped_;
 };
 
 }  // namespace sassafras
--- /dev/null
+++ b/src/request/claim_writer.cc
@@ -0,0 +1,214 @@
+#include "sassafras/request/claim_writer.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace sassafras {
+namespace {
+
+constexpr std::size_t kMaxCalls = 2;       // In progress at once.
+constexpr std::size_t kMaxBatchRows = 64;  // Rows of one transaction.
+constexpr duration kRetryBase = std::chrono::milliseconds(50);
+constexpr duration kRetryMax = std::chrono::seconds(2);
+constexpr int kMaxDoublings = 6;
+
+const table_row* FindRow(const std::vector<table_row>& rows,
+                         const std::string& key) {
+  const auto it =
+      std::find_if(rows.begin(), rows.end(),
+                   [&](const table_row& row) { return row.key == key; });
+  return it == rows.end() ? nullptr : &*it;
+}
+
+}  // namespace
+
+claim_writer::claim_writer(counter_table& counters, next_call next)
+    : counters_(counters), next_(std::move(next)) {}
+
+void claim_writer::Add(claim_write write) {
+  const request_id request = write.request;
+  pending_write pending;
+  pending.write = std::move(write);
+  writes_[request] = std::move(pending);
+}
+
+bool claim_writer::Replace(request_id request, std::string value) {
+  const auto it = writes_.find(request);
+  if (it == writes_.end()) {
+    return false;
+  }
+  if (it->second.sent.empty()) {
+    writes_.erase(it);
+    return true;
+  }
+  it->second.write.value = std::move(value);
+  return false;
+}
+
+void claim_writer::NoteStore(bool is_well, instant now, random_engine& random) {
+  if (is_well) {
+    failures_ = 0;
+    retry_at_ = now;
+    return;
+  }
+  const duration limit = std::min(
+      kRetryMax, kRetryBase * (1 << std::min(failures_, kMaxDoublings)));
+  std::uniform_int_distribution<std::int64_t> wait(1, limit.count());
+  ++failures_;
+  retry_at_ = now + duration(wait(random));
+}
+
+void claim_writer::Pump(instant now, request_actions& actions) {
+  if (failures_ > 0 && now < retry_at_) {
+    return;
+  }
+  // While the store is away one call at a time finds out when it is back.
+  const std::size_t limit = failures_ > 0 ? 1 : kMaxCalls;
+  for (const bool is_read : {true, false}) {
+    if (batches_.size() < limit) {
+      StartBatch(is_read, now, actions);
+    }
+  }
+}
+
+void claim_writer::StartBatch(bool is_read,
+                              instant /*now*/,
+                              request_actions& actions) {
+  batch chosen;
+  std::vector<std::string> keys;
+  table_transaction transaction;
+  for (auto& [request, pending] : writes_) {
+    if (pending.is_busy || pending.needs_read != is_read ||
+        chosen.size() >= kMaxBatchRows) {
+      continue;
+    }
+    // Two writes of one row cannot share a transaction.
+    if (std::find(keys.begin(), keys.end(), pending.write.key) != keys.end()) {
+      continue;
+    }
+    pending.is_busy = true;
+    chosen.push_back(request);
+    keys.push_back(pending.write.key);
+    if (!is_read) {
+      if (pending.sent.empty() || pending.sent.back() != pending.write.value) {
+        pending.sent.push_back(pending.write.value);
+      }
+      transaction.push_back({pending.write.key, pending.write.expected_version,
+                             pending.write.value, false});
+    }
+  }
+  if (chosen.empty()) {
+    return;
+  }
+  const store_call_id call = next_();
+  batches_[call] = std::move(chosen);
+  counters_.Add(is_read ? "claim_read_back" : "claim_transaction");
+  if (is_read) {
+    actions.emplace_back(read_rows{call, std::move(keys)});
+  } else {
+    actions.emplace_back(commit_rows{call, std::move(transaction)});
+  }
+}
+
+claim_writer::batch claim_writer::TakeBatch(store_call_id call) {
+  auto node = batches_.extract(call);
+  return node.empty() ? batch() : std::move(node.mapped());
+}
+
+void claim_writer::End(request_id request,
+                       bool is_done,
+                       table_row row,
+                       std::vector<claim_written>& ended) {
+  writes_.erase(request);
+  ended.push_back({request, is_done, std::move(row)});
+}
+
+// Compares the row as it is now with what was asked for.
+void claim_writer::Settle(pending_write& pending,
+                          const table_row& row,
+                          std::vector<claim_written>& ended) {
+  pending.needs_read = false;
+  if (row.version > 0 && row.value == pending.write.value) {
+    End(pending.write.request, true, row, ended);
+    return;
+  }
+  const bool is_ours = std::find(pending.sent.begin(), pending.sent.end(),
+                                 row.value) != pending.sent.end();
+  if (row.version > 0 && is_ours) {
+    // An earlier value took effect and was replaced since: write over it.
+    pending.write.expected_version = row.version;
+    return;
+  }
+  if (row.version == pending.write.expected_version) {
+    return;  // Nothing took effect so far: write again.
+  }
+  End(pending.write.request, false, row, ended);
+}
+
+std::vector<claim_written> claim_writer::OnCommitted(
+    const rows_committed& event,
+    instant now,
+    random_engine& random) {
+  std::vector<claim_written> ended;
+  const batch requests = TakeBatch(event.call);
+  const bool is_conflict = event.answer.state == answer_state::kNotDone &&
+                           event.answer.reason == error_kind::kConflict;
+  const bool is_done = event.answer.state == answer_state::kDone;
+  NoteStore(is_done || is_conflict, now, random);
+  if (event.answer.state == answer_state::kUnknown) {
+    counters_.Add("claim_commit_unknown");
+  }
+  for (const request_id request : requests) {
+    const auto it = writes_.find(request);
+    if (it == writes_.end()) {
+      continue;
+    }
+    pending_write& pending = it->second;
+    pending.is_busy = false;
+    const table_row* row = FindRow(event.answer.rows, pending.write.key);
+    if (is_done && row != nullptr) {
+      Settle(pending, {row->key, pending.sent.back(), row->version}, ended);
+    } else if (is_conflict) {
+      if (row != nullptr) {
+        Settle(pending, *row, ended);
+      }
+    } else {
+      // An earlier try may be open even if this one certainly failed.
+      pending.needs_read = true;
+    }
+  }
+  return ended;
+}
+
+std::vector<claim_written> claim_writer::OnRead(const rows_read& event,
+                                                instant now,
+                                                random_engine& random) {
+  std::vector<claim_written> ended;
+  const batch requests = TakeBatch(event.call);
+  const bool is_done = event.answer.state == answer_state::kDone;
+  NoteStore(is_done, now, random);
+  for (const request_id request : requests) {
+    const auto it = writes_.find(request);
+    if (it == writes_.end()) {
+      continue;
+    }
+    it->second.is_busy = false;
+    const table_row* row = FindRow(event.answer.rows, it->second.write.key);
+    if (is_done && row != nullptr) {
+      Settle(it->second, *row, ended);
+    }
+  }
+  return ended;
+}
+
+std::optional<instant> claim_writer::NextWake() const {
+  const bool has_idle =
+      std::any_of(writes_.begin(), writes_.end(),
+                  [](const auto& item) { return !item.second.is_busy; });
+  if (!has_idle || !batches_.empty()) {
+    return std::nullopt;
+  }
+  return retry_at_;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/request/request_core.cc
@@ -0,0 +1,248 @@
+#include "sassafras/request/request_core.h"
+
+#include <algorithm>
+
+#include "sassafras/core/invariant.h"
+#include "src/request/request_core_impl.h"
+
+namespace sassafras {
+namespace {
+
+constexpr duration kHeartbeat = std::chrono::seconds(1);
+constexpr std::size_t kMaxLostMembers = 1000;
+constexpr int kMaxWanted = 32;
+constexpr int kLendingReserve = 8;  // One of so many slots is never lent.
+
+void Earliest(std::optional<instant>& first, std::optional<instant> candidate) {
+  if (candidate && (!first || *candidate < *first)) {
+    first = candidate;
+  }
+}
+
+}  // namespace
+
+request_core::request_core(request_options options, counter_table& counters)
+    : impl_(std::make_unique<impl>(std::move(options), counters)) {}
+
+request_core::~request_core() = default;
+
+request_actions request_core::Handle(const request_event& event,
+                                     instant now,
+                                     random_engine& random) {
+  return impl_->Handle(event, now, random);
+}
+
+std::optional<instant> request_core::NextWake() const {
+  return impl_->NextWake();
+}
+
+request_load request_core::Load() const {
+  return impl_->Load();
+}
+
+request_core::impl::impl(request_options options, counter_table& counters)
+    : options_(std::move(options)),
+      counters_(counters),
+      writer_(counters, [this] { return next_call_++; }) {}
+
+request_actions request_core::impl::Handle(const request_event& event,
+                                           instant now,
+                                           random_engine& random) {
+  now_ = std::max(now, now_);
+  random_ = &random;
+  actions_.clear();
+  CheckPause();
+  std::visit([this](const auto& item) { On(item); }, event);
+  Finish();
+  return std::move(actions_);
+}
+
+// A process that was paused may act on a membership that is long past.
+void request_core::impl::CheckPause() {
+  if (next_wake_ && now_ > *next_wake_ + kPauseLimit && !is_suspended_) {
+    is_suspended_ = true;
+    counters_.Add("request_pause_noticed");
+    ApplyMembers();
+  }
+}
+
+// What every event may have made possible.
+void request_core::impl::Finish() {
+  while (!wakes_.empty() && wakes_.begin()->first <= now_) {
+    request_entry& entry = entries_.at(wakes_.begin()->second);
+    SetWake(entry, std::nullopt);
+    OnWake(entry);
+  }
+  for (auto& [id, owner] : targets_) {
+    owner->pool.GiveBack(now_);
+    Dispatch(*owner);
+    owner->loans.Pump(Wanted(*owner), now_, actions_);
+    for (std::string& address : owner->pool.TakeClosing()) {
+      actions_.emplace_back(trim_connections{std::move(address), 0});
+    }
+  }
+  StartReads();
+  writer_.Pump(now_, actions_);
+  if (is_stopping_ && !is_stopped_ && entries_.empty() && sends_.empty()) {
+    is_stopped_ = true;
+    actions_.emplace_back(stop_completed{});
+  }
+  next_wake_ = now_ + kHeartbeat;
+  if (!wakes_.empty()) {
+    Earliest(next_wake_, wakes_.begin()->first);
+  }
+  Earliest(next_wake_, writer_.NextWake());
+  if (!reads_due_.empty() && reads_.empty()) {
+    Earliest(next_wake_, writer_.RetryAt());
+  }
+  for (const auto& [id, owner] : targets_) {
+    Earliest(next_wake_, owner->loans.NextWake(Wanted(*owner)));
+    Earliest(next_wake_, owner->pool.NextWake(now_));
+  }
+}
+
+int request_core::impl::Wanted(const target_state& owner) const {
+  const int waiting = owner.queue.Size();
+  if (waiting == 0 || is_suspended_ || members_.size() < 2 ||
+      owner.pool.FreeSlots(now_) > 0) {
+    return 0;
+  }
+  return std::min(waiting, kMaxWanted);
+}
+
+std::optional<instant> request_core::impl::NextWake() const {
+  return next_wake_;
+}
+
+request_load request_core::impl::Load() const {
+  request_load load;
+  for (const auto& [id, owner] : targets_) {
+    load.waiting += owner->queue.Size();
+  }
+  load.in_work = static_cast<int>(sends_.size());
+  load.open = static_cast<int>(entries_.size());
+  return load;
+}
+
+request_entry* request_core::impl::Find(request_id request) {
+  const auto it = entries_.find(request);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+target_state& request_core::impl::TargetOf(const request_entry& entry) {
+  return *targets_.at(entry.target);
+}
+
+void request_core::impl::SetWake(request_entry& entry,
+                                 std::optional<instant> at) {
+  if (entry.wake) {
+    wakes_.erase({*entry.wake, entry.id});
+  }
+  entry.wake = at;
+  if (at) {
+    wakes_.emplace(*at, entry.id);
+  }
+}
+
+void request_core::impl::On(const config_changed& event) {
+  config_ = event.config;
+  if (!config_) {
+    return;
+  }
+  const config_set& objects = config_->objects;
+  for (const auto& [id, definition] : objects.targets) {
+    auto& owner = targets_[id];
+    if (!owner) {
+      owner = std::make_unique<target_state>(id, options_, counters_);
+    }
+    owner->is_leaving = definition.leaving;
+    owner->queue.Configure(objects, id);
+    owner->pool.Configure(definition, options_.gateway_count, now_);
+    owner->has_urgent = std::any_of(
+        objects.classes.begin(), objects.classes.end(), [&](const auto& item) {
+          return item.second.target == id &&
+                 item.second.order == urgency::kUrgent;
+        });
+  }
+  for (auto& [id, owner] : targets_) {
+    if (objects.targets.count(id) == 0) {
+      owner->is_leaving = true;
+      owner->pool.Configure({id, true, {}}, options_.gateway_count, now_);
+    }
+  }
+  ApplyMembers();
+  std::vector<request_id> refused;
+  for (const auto& [id, entry] : entries_) {
+    const bool is_waiting = entry.phase == request_phase::kQueued ||
+                            entry.phase == request_phase::kBackoff;
+    if (is_waiting && TargetOf(entry).is_leaving) {
+      refused.push_back(id);
+    }
+  }
+  for (const request_id id : refused) {
+    GiveUp(entries_.at(id), {error_kind::kTargetLeaving, {}});
+  }
+}
+
+void request_core::impl::On(const members_changed& event) {
+  std::vector<gateway_member> members = event.gateways;
+  std::sort(members.begin(), members.end());
+  for (const gateway_member& member : members_) {
+    if (!std::binary_search(members.begin(), members.end(), member)) {
+      lost_members_.insert(member);
+    }
+  }
+  for (const gateway_member& member : members) {
+    lost_members_.erase(member);
+  }
+  if (lost_members_.size() > kMaxLostMembers) {
+    lost_members_.erase(lost_members_.begin());
+  }
+  members_ = std::move(members);
+  is_suspended_ = false;
+  ApplyMembers();
+}
+
+void request_core::impl::ApplyMembers() {
+  const auto self = std::find(members_.begin(), members_.end(), options_.self);
+  const bool may_act = !is_suspended_ && self != members_.end();
+  const int index = static_cast<int>(self - members_.begin());
+  const int count = may_act ? static_cast<int>(members_.size()) : 0;
+  for (auto& [id, owner] : targets_) {
+    owner->pool.SetMembers(index, count, now_);
+    owner->loans.SetMembers(members_);
+  }
+}
+
+void request_core::impl::On(const leaving_listed& event) {
+  for (auto& [id, owner] : targets_) {
+    owner->pool.SetLeaving(event.leaving);
+  }
+}
+
+void request_core::impl::On(const slots_received& event) {
+  const auto it = targets_.find(event.message.target);
+  if (it == targets_.end()) {
+    counters_.Add("slot_message_of_stranger");
+    return;
+  }
+  target_state& owner = *it->second;
+  const int wanted = owner.loans.OnMessage(event.message, now_);
+  if (wanted <= 0 || owner.queue.Size() > 0) {
+    return;
+  }
+  const int reserve = 1 + (owner.pool.Slots(now_) / kLendingReserve);
+  const int idle = owner.pool.FreeSlots(now_) - reserve;
+  const int count = std::min(wanted, (idle + 1) / 2);
+  if (count > 0) {
+    owner.loans.Lend(event.message.from, owner.pool.FreeOwnSlots(count, now_));
+  }
+}
+
+void request_core::impl::On(const time_passed& /*event*/) {}
+
+void request_core::impl::On(const stop_requested& /*event*/) {
+  is_stopping_ = true;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/request/slot_loans.cc
@@ -0,0 +1,235 @@
+#include "sassafras/request/slot_loans.h"
+
+#include <algorithm>
+
+namespace sassafras {
+namespace {
+
+constexpr std::uint64_t kMaxSlotsPerMessage = 64;
+constexpr duration kLoanTime = std::chrono::milliseconds(1000);
+constexpr duration kAskMin = std::chrono::milliseconds(20);
+constexpr duration kAskMax = std::chrono::milliseconds(320);
+constexpr duration kReportInterval = std::chrono::milliseconds(200);
+
+// A loan's id holds the number of its message and its place in it.
+std::uint64_t LoanId(std::uint64_t number, std::size_t index) {
+  return (number * kMaxSlotsPerMessage) + index;
+}
+
+std::uint64_t NumberOf(std::uint64_t loan) {
+  return loan / kMaxSlotsPerMessage;
+}
+
+void Decrement(std::map<minion_id, int>& counts, const minion_id& minion) {
+  const auto it = counts.find(minion);
+  if (it != counts.end() && --it->second == 0) {
+    counts.erase(it);
+  }
+}
+
+int CountOf(const std::map<minion_id, int>& counts, const minion_id& minion) {
+  const auto it = counts.find(minion);
+  return it == counts.end() ? 0 : it->second;
+}
+
+}  // namespace
+
+void slot_loans::SetMembers(const std::vector<gateway_member>& members) {
+  const auto is_member = [&](const gateway_member& member) {
+    return std::find(members.begin(), members.end(), member) != members.end();
+  };
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    if (is_member(it->second.member)) {
+      ++it;
+      continue;
+    }
+    for (const auto& [loan, minion] : it->second.lent) {
+      Decrement(lent_count_, minion);
+      counters_.Add("slot_loan_of_lost_gateway");
+    }
+    it = peers_.erase(it);
+  }
+  for (auto it = borrowed_.begin(); it != borrowed_.end();) {
+    if (is_member(it->second.owner)) {
+      ++it;
+      continue;
+    }
+    Decrement(borrowed_count_, it->second.minion);
+    it = borrowed_.erase(it);
+  }
+  for (const gateway_member& member : members) {
+    if (member.id != self_.id) {
+      peers_[member.id].member = member;
+    }
+  }
+}
+
+int slot_loans::OnMessage(const slot_message& message, instant now) {
+  const auto it = peers_.find(message.from.id);
+  if (it == peers_.end() || it->second.member != message.from ||
+      message.to_incarnation != self_.incarnation) {
+    counters_.Add("slot_message_of_stranger");
+    return 0;
+  }
+  peer& sender = it->second;
+  if (message.number <= sender.seen) {
+    counters_.Add("slot_message_late");
+    return 0;
+  }
+  sender.seen = message.number;
+  const std::set<std::uint64_t> held(message.held.begin(), message.held.end());
+  for (auto loan = sender.lent.begin(); loan != sender.lent.end();) {
+    if (NumberOf(loan->first) > message.seen || held.count(loan->first) > 0) {
+      ++loan;
+      continue;
+    }
+    Decrement(lent_count_, loan->second);
+    loan = sender.lent.erase(loan);
+  }
+  for (std::size_t i = 0; i < message.lent.size(); ++i) {
+    const std::uint64_t id = LoanId(message.number, i);
+    borrowed_[{message.from.id, id}] = {message.from, id, message.lent[i],
+                                        now + kLoanTime};
+    ++borrowed_count_[message.lent[i]];
+    counters_.Add("slot_borrowed");
+  }
+  if (!message.lent.empty()) {
+    ask_interval_ = duration(0);
+    next_ask_ = now + kAskMin;
+  }
+  sender.owes_answer =
+      message.wanted > 0 || !message.lent.empty() || !message.held.empty();
+  return message.wanted;
+}
+
+void slot_loans::Lend(const gateway_member& borrower,
+                      const std::vector<minion_id>& slots) {
+  const auto it = peers_.find(borrower.id);
+  if (it == peers_.end() || it->second.member != borrower) {
+    return;
+  }
+  for (const minion_id& minion : slots) {
+    if (it->second.offer.size() < kMaxSlotsPerMessage) {
+      it->second.offer.push_back(minion);
+      ++lent_count_[minion];
+      counters_.Add("slot_lent");
+    }
+  }
+}
+
+void slot_loans::GiveBack(const minion_id& minion, int in_use, instant now) {
+  int kept = 0;
+  for (auto it = borrowed_.begin(); it != borrowed_.end();) {
+    if (it->second.minion != minion || it->second.use_until > now) {
+      kept += it->second.minion == minion ? 1 : 0;
+      ++it;
+      continue;
+    }
+    if (kept < in_use) {
+      ++kept;
+      ++it;
+      continue;
+    }
+    peers_[it->second.owner.id].owes_answer = true;
+    Decrement(borrowed_count_, minion);
+    it = borrowed_.erase(it);
+  }
+}
+
+bool slot_loans::HasBusiness(const peer& item) const {
+  const bool borrows = std::any_of(
+      borrowed_.begin(), borrowed_.end(),
+      [&](const auto& slot) { return slot.first.first == item.member.id; });
+  return borrows || !item.lent.empty();
+}
+
+void slot_loans::SendTo(peer& to, int wanted, request_actions& actions) {
+  slot_message message;
+  message.target = target_;
+  message.from = self_;
+  message.to_incarnation = to.member.incarnation;
+  message.number = ++to.number;
+  message.seen = to.seen;
+  message.wanted = wanted;
+  for (const auto& [key, slot] : borrowed_) {
+    if (key.first == to.member.id) {
+      message.held.push_back(slot.id);
+    }
+  }
+  for (std::size_t i = 0; i < to.offer.size(); ++i) {
+    to.lent[LoanId(message.number, i)] = to.offer[i];
+  }
+  message.lent = std::move(to.offer);
+  to.offer.clear();
+  to.owes_answer = false;
+  actions.emplace_back(send_slots{to.member.id, std::move(message)});
+}
+
+void slot_loans::Pump(int wanted, instant now, request_actions& actions) {
+  const bool asks = wanted > 0 && now >= next_ask_;
+  const bool reports = now >= next_report_;
+  for (auto& [id, item] : peers_) {
+    if (asks || item.owes_answer || !item.offer.empty() ||
+        (reports && HasBusiness(item))) {
+      SendTo(item, asks ? wanted : 0, actions);
+    }
+  }
+  if (asks) {
+    ask_interval_ = std::clamp(ask_interval_ * 2, kAskMin, kAskMax);
+    next_ask_ = now + ask_interval_;
+  }
+  if (reports) {
+    next_report_ = now + kReportInterval;
+  }
+}
+
+int slot_loans::Lent(const minion_id& minion) const {
+  return CountOf(lent_count_, minion);
+}
+
+int slot_loans::Borrowed(const minion_id& minion) const {
+  return CountOf(borrowed_count_, minion);
+}
+
+int slot_loans::Usable(const minion_id& minion, instant now) const {
+  if (Borrowed(minion) == 0) {
+    return 0;
+  }
+  return static_cast<int>(
+      std::count_if(borrowed_.begin(), borrowed_.end(), [&](const auto& slot) {
+        return slot.second.minion == minion && slot.second.use_until > now;
+      }));
+}
+
+int slot_loans::TotalLent() const {
+  int total = 0;
+  for (const auto& [minion, count] : lent_count_) {
+    total += count;
+  }
+  return total;
+}
+
+std::set<minion_id> slot_loans::BorrowedMinions() const {
+  std::set<minion_id> minions;
+  for (const auto& [minion, count] : borrowed_count_) {
+    minions.insert(minion);
+  }
+  return minions;
+}
+
+std::optional<instant> slot_loans::NextWake(int wanted) const {
+  if (peers_.empty()) {
+    return std::nullopt;
+  }
+  std::optional<instant> wake;
+  if (wanted > 0) {
+    wake = next_ask_;
+  }
+  const bool has_business = !borrowed_.empty() || !lent_count_.empty();
+  if (has_business && (!wake || next_report_ < *wake)) {
+    wake = next_report_;
+  }
+  return wake;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/request/slot_shares.cc
@@ -0,0 +1,39 @@
+#include "sassafras/request/slot_shares.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+
+namespace sassafras {
+
+namespace {
+
+// FNV-1a, which is the same in every build.
+constexpr std::uint64_t kHashStart = 14695981039346656037ULL;
+constexpr std::uint64_t kHashPrime = 1099511628211ULL;
+
+std::uint64_t HashName(const std::string& name) {
+  std::uint64_t hash = kHashStart;
+  for (const char letter : name) {
+    hash = (hash ^ static_cast<unsigned char>(letter)) * kHashPrime;
+  }
+  return hash;
+}
+
+}  // namespace
+
+int SlotShare(const minion_id& minion, int slots, int member, int members) {
+  if (members <= 0 || member < 0 || member >= members) {
+    return 0;
+  }
+  const int first = static_cast<int>(HashName(minion.value) %
+                                     static_cast<std::uint64_t>(members));
+  const int turn = (member - first + members) % members;
+  return (slots / members) + (turn < slots % members ? 1 : 0);
+}
+
+int ConnectionShare(int connections, int gateways) {
+  return connections / std::max(1, gateways);
+}
+
+}  // namespace sassafras
