--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -137,7 +137,8 @@
 }
 
 request_service::task request_service::Plan(reply_error action) {
-  return [reply = open_[action.request].reply, action = std::move(action)] {
+  http_reply reply = open_[action.request].reply;
+  return [reply = std::move(reply), action = std::move(action)] {
     http_response response = ErrorResponse(action.failure, action.outcome);
     response.headers["x-sassafras-outcome"] =
         std::string(GetName(action.outcome));
--- a/src/request/request_core.cc
+++ b/src/request/request_core.cc
@@ -19,6 +19,14 @@
   }
 }
 
+bool HasUrgentClass(const config_set& objects, const target_id& target) {
+  return std::any_of(objects.classes.begin(), objects.classes.end(),
+                     [&](const auto& item) {
+                       return item.second.target == target &&
+                              item.second.order == urgency::kUrgent;
+                     });
+}
+
 }  // namespace
 
 request_core::request_core(request_options options, counter_table& counters)
@@ -158,11 +166,7 @@
     owner->is_leaving = definition.leaving;
     owner->queue.Configure(objects, id);
     owner->pool.Configure(definition, options_.gateway_count, now_);
-    owner->has_urgent = std::any_of(
-        objects.classes.begin(), objects.classes.end(), [&](const auto& item) {
-          return item.second.target == id &&
-                 item.second.order == urgency::kUrgent;
-        });
+    owner->has_urgent = HasUrgentClass(objects, id);
   }
   for (auto& [id, owner] : targets_) {
     if (objects.targets.count(id) == 0) {
--- a/tests/request_claim_test.cc
+++ b/tests/request_claim_test.cc
@@ -61,6 +61,7 @@
     request_world world(9, 4, seed);
     world.minions_by_name["m0"].work = milliseconds(700);
     std::vector<std::shared_ptr<request_world::reply>> replies;
+    replies.reserve(9);
     for (int i = 0; i < 9; ++i) {
       replies.push_back(world.Submit(i, "reset", "k"));
     }
