--- a/include/sassafras/job/job_core.h
+++ b/include/sassafras/job/job_core.h
@@ -18,16 +18,16 @@
 struct job_core_options {
   planner_options planner;
   worker_health_options health;
-  duration first_lease{10'000'000};     ///< Of held tasks; never renewed.
-  duration lease{30'000'000};           ///< Of running tasks.
-  duration lease_margin{2'000'000};     ///< For delays and clock rates.
-  duration renew_interval{2'000'000};   ///< Between renewals to a worker.
-  duration list_interval{10'000'000};   ///< Between lists of idle workers.
-  duration resend_interval{1'000'000};  ///< Of an unanswered task call.
-  duration marker_interval{500'000};    ///< Between scans of markers.
-  duration standby_scan{10'000'000};    ///< Between scans while not the owner.
+  duration first_lease{10'000'000};      ///< Of held tasks; never renewed.
+  duration lease{30'000'000};            ///< Of running tasks.
+  duration lease_margin{2'000'000};      ///< For delays and clock rates.
+  duration renew_interval{2'000'000};    ///< Between renewals to a worker.
+  duration list_interval{10'000'000};    ///< Between lists of idle workers.
+  duration resend_interval{1'000'000};   ///< Of an unanswered task call.
+  duration marker_interval{500'000};     ///< Between scans of markers.
+  duration standby_scan{10'000'000};     ///< Between scans while not the owner.
   duration longest_outage{900'000'000};  ///< Renewals without the store.
-  std::size_t scan_limit = 500;           ///< Rows of one scan.
+  std::size_t scan_limit = 500;          ///< Rows of one scan.
   std::size_t max_rows_per_commit = 64;
   int max_losses = 20;  ///< Attempts lost to workers before a job ends.
 };
