--- a/tests/job_core_test.cc
+++ b/tests/job_core_test.cc
@@ -286,4 +286,46 @@
   CHECK(RunUntilEnded(world, waiting, 30s));
 }
 
+TEST_CASE("A rack is lost with the gangs on it") {
+  job_world world(MakeJobSite(16));
+  std::vector<job_id> jobs;
+  for (int i = 0; i < 4; ++i) {
+    jobs.push_back(world.Submit(std::to_string(i), "again", "four"));
+  }
+  jobs.push_back(world.Submit("once", "once", "four"));
+  REQUIRE(RunUntilWorking(world, jobs[0]));
+  world.Run(3s);
+  for (int i = 1; i <= 8; ++i) {
+    world.workers.at("w" + std::to_string(i)).is_dead = true;
+  }
+  for (const job_id& job : jobs) {
+    REQUIRE(RunUntilEnded(world, job, 400s));
+    const job_row row = world.Row(job);
+    // Work that may run once only is lost with its rack, and said to be so.
+    CHECK(row.outcome ==
+          (row.losses == 0 && row.stopping_for != stop_reason::kNone
+               ? job_outcome::kUnknown
+               : job_outcome::kSucceeded));
+    CHECK((row.terms.idempotent || world.Begun(job) == 4));
+    CHECK((row.outcome != job_outcome::kUnknown || !row.terms.idempotent));
+  }
+}
+
+TEST_CASE("The owner is cut off while its last commit is under way") {
+  // The write of the placement takes effect, its answer is lost, and another
+  // process takes over before it is settled.
+  job_world world(MakeJobSite(4));
+  const job_id job = world.Submit("k", "once", "four");
+  REQUIRE(
+      world.RunUntil([&] { return world.Is(job, job_state::kPlacing); }, 10s));
+  world.all[0].paused_until = world.now + 60s;
+  world.TakeOver(1);
+  REQUIRE(RunUntilEnded(world, job, 60s));
+  CHECK(world.Row(job).attempt == 2);
+  CHECK(world.Begun(job) == 4);
+  world.Run(70s);
+  CHECK(world.Begun(job) == 4);
+  CHECK(world.Tasks(job, task_state::kHeld) == 0);
+}
+
 }  // namespace sassafras
