--- a/bench/main.cc
+++ b/bench/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "bench/bench_options.h"
+#include "bench/policy_bench.h"
 
 namespace sassafras {
 namespace {
@@ -21,7 +22,9 @@
 
 // One line per measurement.
 std::vector<bench_command> BenchCommands() {
-  return {};
+  return {
+      {"policy", "placement of jobs, in virtual time", RunPolicyBench},
+  };
 }
 
 void PrintHelp(const po::options_description& options) {
--- a/include/sassafras/world/packing.h
+++ b/include/sassafras/world/packing.h
@@ -37,6 +37,11 @@
     std::vector<worker_space> spaces,
     const std::vector<shape_demand>& demands);
 
+/// Returns the greatest number of instances of `demand` (its count is ignored)
+/// that `spaces` can form at once. Exact.
+int CountInstances(const std::vector<worker_space>& spaces,
+                   const shape_demand& demand);
+
 }  // namespace sassafras
 
 #endif  // SASSAFRAS_WORLD_PACKING_H_
--- /dev/null
+++ b/src/job/inventory.cc
@@ -0,0 +1,97 @@
+#include "src/job/inventory.h"
+
+#include <algorithm>
+#include <map>
+
+namespace sassafras {
+namespace {
+
+// Dense indices of names, in order of their first use.
+template <class Id>
+class dense_index {
+ public:
+  int Of(const Id& id) {
+    const int next = static_cast<int>(indices_.size());
+    return indices_.emplace(id, next).first->second;
+  }
+
+  std::size_t size() const { return indices_.size(); }
+
+ private:
+  std::map<Id, int> indices_;
+};
+
+void RemoveOne(std::vector<int>& list, int value) {
+  const auto it = std::find(list.begin(), list.end(), value);
+  if (it != list.end()) {
+    list.erase(it);
+  }
+}
+
+}  // namespace
+
+void inventory::Load(const config_set& objects,
+                     const std::set<worker_id>& unusable) {
+  workers_.clear();
+  index_.clear();
+  dense_index<rack_id> racks;
+  dense_index<place_id> places;
+  for (const auto& [id, item] : objects.workers) {
+    worker_state state;
+    state.id = id;
+    state.rack = racks.Of(item.rack);
+    state.place = places.Of(objects.racks.at(item.rack).place);
+    state.capacity = item.capacity;
+    state.usable = !item.leaving && !unusable.contains(id);
+    index_[id] = size();
+    workers_.push_back(std::move(state));
+  }
+  racks_.assign(racks.size(), {});
+  places_.assign(places.size(), {});
+  for (int i = 0; i < size(); ++i) {
+    const worker_state& state = (*this)[i];
+    racks_[static_cast<std::size_t>(state.rack)].push_back(i);
+    places_[static_cast<std::size_t>(state.place)].push_back(i);
+  }
+}
+
+int inventory::IndexOf(const worker_id& id) {
+  const auto [it, added] = index_.emplace(id, size());
+  if (added) {
+    worker_state state;
+    state.id = id;
+    workers_.push_back(std::move(state));
+  }
+  return it->second;
+}
+
+int inventory::Find(const worker_id& id) const {
+  const auto it = index_.find(id);
+  return it == index_.end() ? -1 : it->second;
+}
+
+void inventory::Hold(int worker, int job, const resources& need) {
+  worker_state& state = (*this)[worker];
+  state.held += need;
+  state.occupants.push_back(job);
+}
+
+void inventory::Release(int worker, int job, const resources& need) {
+  worker_state& state = (*this)[worker];
+  state.held -= need;
+  RemoveOne(state.occupants, job);
+}
+
+void inventory::Claim(int worker, int job, const resources& need) {
+  worker_state& state = (*this)[worker];
+  state.claimed += need;
+  state.occupants.push_back(job);
+}
+
+void inventory::Unclaim(int worker, int job, const resources& need) {
+  worker_state& state = (*this)[worker];
+  state.claimed -= need;
+  RemoveOne(state.occupants, job);
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/job/job_table.h
@@ -0,0 +1,69 @@
+#ifndef SASSAFRAS_JOB_JOB_TABLE_H_
+#define SASSAFRAS_JOB_JOB_TABLE_H_
+
+#include <compare>
+#include <map>
+#include <set>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/job/job_entry.h"
+
+namespace sassafras {
+
+/// Waiting jobs that are alike to the planner: it looks at the first only.
+struct bucket_key {
+  int team = -1;
+  const job_class* class_object = nullptr;
+  const shape* wanted = nullptr;
+
+  auto operator<=>(const bucket_key&) const = default;
+};
+
+/// Indices of waiting jobs, by order of arrival.
+using bucket = std::set<std::pair<arrival, int>>;
+
+/// All jobs by dense index, and the waiting ones in buckets.
+class job_table {
+ public:
+  /// Adds `entry`, not yet in a bucket. Returns its index.
+  int Insert(job_entry entry);
+
+  /// Forgets a job that is in no bucket.
+  void Erase(int index);
+
+  /// Returns the index of `id`, or -1.
+  int Find(const job_id& id) const;
+
+  job_entry& operator[](int index) {
+    return entries_[static_cast<std::size_t>(index)];
+  }
+  const job_entry& operator[](int index) const {
+    return entries_[static_cast<std::size_t>(index)];
+  }
+
+  /// Puts a job that can be placed into its bucket, or takes it out.
+  void Enqueue(int index);
+  void Dequeue(int index);
+
+  /// Empties the buckets, before the objects that key them change.
+  void ClearBuckets() { buckets_.clear(); }
+
+  const std::map<bucket_key, bucket>& Buckets() const { return buckets_; }
+
+  /// Indices of all jobs by name.
+  const std::unordered_map<job_id, int>& Index() const { return index_; }
+
+ private:
+  bucket_key KeyOf(int index) const;
+
+  std::vector<job_entry> entries_;
+  std::vector<int> unused_;
+  std::unordered_map<job_id, int> index_;
+  std::map<bucket_key, bucket> buckets_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_JOB_JOB_TABLE_H_
--- /dev/null
+++ b/src/job/planner_decide.cc
@@ -0,0 +1,339 @@
+#include <algorithm>
+#include <limits>
+#include <queue>
+#include <utility>
+
+#include "sassafras/core/invariant.h"
+#include "src/job/planner_impl.h"
+
+namespace sassafras {
+namespace {
+
+// Greatest number of gangs started by one decision.
+constexpr int kGreatestStarts = 256;
+// A stop that nobody has acted on is asked for again after this time.
+constexpr duration kStopRepeat = std::chrono::seconds(2);
+
+constexpr std::string_view kStartGuaranteed = "plan_start_guaranteed";
+constexpr std::string_view kStartFirm = "plan_start_firm";
+constexpr std::string_view kStartBorrowed = "plan_start_borrowed";
+constexpr std::string_view kStopRepeated = "plan_stop_repeated";
+constexpr std::string_view kCellsUnbound = "plan_guarantee_unbound";
+
+}  // namespace
+
+// Work that a guarantee needs to evict must be restartable; other work keeps
+// to what no guarantee needs.
+hold_terms planner::impl::OpenTerms(const job_entry& entry) const {
+  return entry.class_object->idempotent && !IsBaseline() ? hold_terms::kBorrowed
+                                                         : hold_terms::kFirm;
+}
+
+victim_search planner::impl::Victims() const {
+  return {workers_, jobs_, share_use_, now_};
+}
+
+plan planner::impl::Decide(instant now) {
+  plan_ = {};
+  now_ = now;
+  if (config_ == nullptr) {
+    return plan_;
+  }
+  starts_left_ = kGreatestStarts;
+  RepairGuarantees();
+  RepeatStops();
+  FinishClaims();
+  UpdateShareUse();
+  IndexReservations();
+  if (!IsBaseline()) {
+    PromiseReserved();
+    PlaceGuaranteed();
+    PlaceReserved();
+  }
+  PlaceOpen();
+  return std::move(plan_);
+}
+
+void planner::impl::RepairGuarantees() {
+  if (!promises_changed_) {
+    return;
+  }
+  promises_changed_ = false;
+  reserved_changed_ = true;
+  int unbound = cells_.Repair();
+  if (unbound > 0 && !reservations_.empty()) {
+    while (!reservations_.empty()) {
+      DropReservation(0);
+    }
+    unbound = cells_.Repair();
+  }
+  if (unbound > 0) {
+    counters_.Add(kCellsUnbound, static_cast<std::uint64_t>(unbound));
+  }
+}
+
+void planner::impl::RepeatStops() {
+  for (const int job : unconfirmed_stops_) {
+    job_entry& entry = jobs_[job];
+    if (now_ - entry.stop_asked < kStopRepeat) {
+      continue;
+    }
+    entry.stop_asked = now_;
+    counters_.Add(kStopRepeated);
+    plan_.stops.push_back(
+        {entry.job.id, entry.beneficiary, Victims().MayCheckpoint(job)});
+  }
+}
+
+void planner::impl::FinishClaims() {
+  const std::set<int> claiming = claiming_;
+  for (const int job : claiming) {
+    job_entry& entry = jobs_[job];
+    const bool covered = std::all_of(
+        entry.workers.begin(), entry.workers.end(),
+        [&](int worker) { return workers_[worker].SoonFree().Holds({}); });
+    if (!covered) {
+      DropClaim(job);  // A victim was not stopped after all.
+      continue;
+    }
+    const bool free = std::all_of(
+        entry.workers.begin(), entry.workers.end(), [&](int worker) {
+          resources left = workers_[worker].Free();
+          left += entry.need;
+          return workers_[worker].usable && left.Holds(entry.need);
+        });
+    if (!free) {
+      continue;
+    }
+    for (const int worker : entry.workers) {
+      workers_.Unclaim(worker, job, entry.need);
+    }
+    entry.claiming = false;
+    claiming_.erase(job);
+    Start(job);
+  }
+}
+
+void planner::impl::UpdateShareUse() {
+  double shares = 0;
+  double used = 0;
+  for (const team_state& team : teams_) {
+    shares += team.share;
+    used += static_cast<double>(team.accelerators);
+  }
+  for (std::size_t i = 0; i < teams_.size(); ++i) {
+    const double part = teams_[i].share / std::max(shares, 1.0);
+    const double held = static_cast<double>(teams_[i].accelerators);
+    share_use_[i] = used > 0 ? held / used / part : 0;
+  }
+}
+
+planner::impl::queue_rank planner::impl::RankOf(const bucket_key& key,
+                                                const bucket& waiting) const {
+  queue_rank rank;
+  rank.key = key;
+  rank.order = waiting.begin()->first;
+  if (!IsBaseline()) {
+    const team_state& team = teams_[static_cast<std::size_t>(key.team)];
+    rank.urgency = static_cast<int>(key.class_object->order);
+    rank.share_use = static_cast<double>(team.accelerators) / team.share;
+  }
+  return rank;
+}
+
+std::vector<planner::impl::queue_rank> planner::impl::RankedBuckets() const {
+  std::vector<queue_rank> ranked;
+  for (const auto& [key, waiting] : jobs_.Buckets()) {
+    ranked.push_back(RankOf(key, waiting));
+  }
+  std::sort(ranked.begin(), ranked.end());
+  return ranked;
+}
+
+const bucket* planner::impl::FindBucket(const bucket_key& key) const {
+  const auto it = jobs_.Buckets().find(key);
+  return it == jobs_.Buckets().end() ? nullptr : &it->second;
+}
+
+// Looks at the first job of each bucket, the bucket of least rank first, until
+// none can start.
+void planner::impl::PlaceOpen() {
+  std::vector<queue_rank> first = RankedBuckets();
+  std::priority_queue<queue_rank, std::vector<queue_rank>, std::greater<>>
+      queue(std::greater<>(), std::move(first));
+  std::set<failed_search> failed;
+  std::vector<int> blocked;
+  while (!queue.empty() && starts_left_ > 0) {
+    const queue_rank rank = queue.top();
+    queue.pop();
+    const bucket* waiting = FindBucket(rank.key);
+    if (waiting == nullptr) {
+      continue;
+    }
+    const queue_rank current = RankOf(rank.key, *waiting);
+    if (rank < current) {
+      queue.push(current);
+      continue;
+    }
+    const int job = waiting->begin()->second;
+    const job_entry& entry = jobs_[job];
+    const failed_search search{entry.wanted, OpenTerms(entry),
+                               AllowedReservations(job)};
+    if (!failed.contains(search) && StartOpen(job)) {
+      waiting = FindBucket(rank.key);
+      if (waiting != nullptr) {
+        queue.push(RankOf(rank.key, *waiting));
+      }
+      continue;
+    }
+    failed.insert(search);
+    blocked.push_back(job);
+    if (policy_ == planner_policy::kFirstFit) {
+      return;
+    }
+    if (policy_ == planner_policy::kBestFit && blocked.size() == 1) {
+      UpdateReservations(blocked);
+    }
+  }
+  if (!IsBaseline()) {
+    UpdateReservations(blocked);
+    DrainForReservations();
+  }
+}
+
+// Firm work waits while a guarantee is broken, and while it would keep cells
+// from moving out of the way of an older gang.
+bool planner::impl::IsHeldBack(int job) const {
+  return cells_.Unbound() > 0 ||
+         std::any_of(reservations_.begin(), reservations_.end(),
+                     [&](const reservation& item) {
+                       return item.held_up && item.job != job;
+                     });
+}
+
+// Starts a job where it fits without a stop.
+bool planner::impl::StartOpen(int job) {
+  const job_entry& entry = jobs_[job];
+  const resources& need = entry.wanted->per_worker;
+  const hold_terms terms = OpenTerms(entry);
+  if (terms == hold_terms::kFirm && IsHeldBack(job)) {
+    return false;
+  }
+  const std::uint64_t allowed = AllowedReservations(job);
+  const auto is_free = [&](int worker) {
+    return workers_[worker].Free().Holds(need) &&
+           (reserved_on_[static_cast<std::size_t>(worker)] & ~allowed) == 0;
+  };
+  const auto free_cost = [&](int worker) -> std::optional<double> {
+    return is_free(worker) ? std::optional<double>(0) : std::nullopt;
+  };
+  const group_order order = policy_ == planner_policy::kFirstFit
+                                ? group_order::kFirst
+                                : group_order::kTightest;
+  auto group = FindGroup(workers_, entry.wanted->level, entry.wanted->workers,
+                         order, free_cost);
+  if (!group) {
+    return false;
+  }
+  if (PlaceOpenOn(job, group->workers, {})) {
+    return true;
+  }
+  // The cells on the tightest group cannot move: use what is unpromised.
+  const auto unpromised_cost = [&](int worker) -> std::optional<double> {
+    const bool fits =
+        is_free(worker) && workers_[worker].Unpromised().Holds(need);
+    return fits ? std::optional<double>(0) : std::nullopt;
+  };
+  group = FindGroup(workers_, entry.wanted->level, entry.wanted->workers, order,
+                    unpromised_cost);
+  return group && PlaceOpenOn(job, group->workers, {});
+}
+
+bool planner::impl::PlaceOpenOn(int job,
+                                const std::vector<int>& workers,
+                                const eviction_rule& rule) {
+  job_entry& entry = jobs_[job];
+  const hold_terms terms = OpenTerms(entry);
+  for (reservation& item : reservations_) {
+    if (item.job == job) {
+      WithdrawReserved(item);
+    }
+  }
+  if (terms == hold_terms::kFirm &&
+      !cells_.Displace(workers, entry.wanted->per_worker)) {
+    return false;
+  }
+  jobs_.Dequeue(job);
+  entry.terms = terms;
+  entry.workers = workers;
+  entry.need = entry.wanted->per_worker;
+  TakeOrClaim(job, rule);
+  return true;
+}
+
+// Starts a job on its chosen workers, or claims them and stops what is in the
+// way.
+void planner::impl::TakeOrClaim(int job, const eviction_rule& rule) {
+  job_entry& entry = jobs_[job];
+  const bool free = std::all_of(
+      entry.workers.begin(), entry.workers.end(),
+      [&](int worker) { return workers_[worker].Free().Holds(entry.need); });
+  if (free) {
+    Start(job);
+    return;
+  }
+  const std::vector<int> victims =
+      Victims().Choose(entry.workers, entry.need, rule);
+  for (const int victim : victims) {
+    StopVictim(victim, job);
+  }
+  for (const int worker : entry.workers) {
+    workers_.Claim(worker, job, entry.need);
+  }
+  entry.claiming = true;
+  claiming_.insert(job);
+  for (const int worker : entry.workers) {
+    CheckInvariant(workers_[worker].SoonFree().Holds({}),
+                   "claims_are_covered_by_stops");
+  }
+}
+
+void planner::impl::StopVictim(int victim, int beneficiary) {
+  job_entry& entry = jobs_[victim];
+  CheckInvariant(entry.terms == hold_terms::kBorrowed,
+                 "only_borrowed_work_gives_way");
+  if (entry.claiming) {
+    DropClaim(victim);
+    return;
+  }
+  const bool checkpoint = Victims().MayCheckpoint(victim);
+  ++entry.evictions;
+  MarkStopping(victim, true);
+  entry.stop_asked = now_;
+  entry.beneficiary = jobs_[beneficiary].job.id;
+  unconfirmed_stops_.insert(victim);
+  plan_.stops.push_back({entry.job.id, entry.beneficiary, checkpoint});
+}
+
+void planner::impl::Start(int job) {
+  job_entry& entry = jobs_[job];
+  entry.phase = job_phase::kStarting;
+  entry.started = now_;
+  entry.worker_names.clear();
+  for (const int worker : entry.workers) {
+    const worker_state& state = workers_[worker];
+    CheckInvariant(state.usable && state.Free().Holds(entry.need),
+                   "placement_within_free_capacity");
+    entry.worker_names.push_back(state.id);
+  }
+  Occupy(job);
+  --starts_left_;
+  const bool borrowed = entry.terms == hold_terms::kBorrowed;
+  const bool guaranteed = entry.terms == hold_terms::kGuaranteed;
+  counters_.Add(borrowed     ? kStartBorrowed
+                : guaranteed ? kStartGuaranteed
+                             : kStartFirm);
+  plan_.starts.push_back({entry.job.id, entry.worker_names, borrowed});
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/job/planner_guarantee.cc
@@ -0,0 +1,159 @@
+#include <algorithm>
+#include <utility>
+
+#include "src/job/planner_impl.h"
+
+namespace sassafras {
+namespace {
+
+constexpr std::string_view kReclaims = "plan_guarantee_reclaimed";
+
+}  // namespace
+
+// Starts waiting jobs on the guarantees of their teams. One bucket's failure
+// does not hold up another.
+void planner::impl::PlaceGuaranteed() {
+  for (const queue_rank& rank : RankedBuckets()) {
+    if (cells_.OfTeam(rank.key.team).empty()) {
+      continue;
+    }
+    for (const bucket* waiting = FindBucket(rank.key);
+         waiting != nullptr && starts_left_ > 0;
+         waiting = FindBucket(rank.key)) {
+      if (!StartOnGuarantee(waiting->begin()->second)) {
+        break;
+      }
+    }
+  }
+}
+
+// Uses the cell that leaves the least unused: first those in use that have
+// room, then the smallest unused one that holds the shape.
+bool planner::impl::StartOnGuarantee(int job) {
+  const shape& wanted = *jobs_[job].wanted;
+  std::vector<std::pair<int, int>> order;
+  for (const int cell : cells_.OfTeam(jobs_[job].team)) {
+    const guarantee_cell& item = cells_[cell];
+    if (!item.IsBound() || !CanHold(item.promised, wanted)) {
+      continue;
+    }
+    const int size = item.promised.TotalAccelerators();
+    order.emplace_back(item.IsUsed() ? -1 : size, cell);
+  }
+  std::sort(order.begin(), order.end());
+  for (const auto& [size, cell] : order) {
+    const std::optional<cell_choice> choice =
+        cells_[cell].IsUsed() ? ChooseInUsedCell(job, cell)
+                              : ChooseForUnusedCell(job, cell);
+    if (choice) {
+      ApplyChoice(job, *choice);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Within a cell that stays where it is.
+std::optional<planner::impl::cell_choice> planner::impl::ChooseInUsedCell(
+    int job,
+    int cell) const {
+  const guarantee_cell& item = cells_[cell];
+  const shape& wanted = *jobs_[job].wanted;
+  const eviction_rule rule{true, job, 0};
+  std::vector<std::pair<double, int>> order;
+  for (std::size_t i = 0; i < item.workers.size(); ++i) {
+    if (!item.room[i].Holds(wanted.per_worker)) {
+      continue;
+    }
+    const std::optional<double> cost =
+        Victims().Cost(item.workers[i], wanted.per_worker, rule);
+    if (cost) {
+      order.emplace_back(*cost, item.workers[i]);
+    }
+  }
+  if (static_cast<int>(order.size()) < wanted.workers) {
+    return std::nullopt;
+  }
+  std::sort(order.begin(), order.end());
+  cell_choice choice;
+  choice.cell = cell;
+  for (int i = 0; i < wanted.workers; ++i) {
+    choice.cost += order[static_cast<std::size_t>(i)].first;
+    choice.workers.push_back(order[static_cast<std::size_t>(i)].second);
+  }
+  return choice;
+}
+
+// An unused cell may move to where fewer give way, or change places with
+// another unused one of the same shape.
+std::optional<planner::impl::cell_choice> planner::impl::ChooseForUnusedCell(
+    int job,
+    int cell) {
+  const shape promised = cells_[cell].promised;
+  const shape& wanted = *jobs_[job].wanted;
+  const eviction_rule rule{true, job, 0};
+  const victim_search victims = Victims();
+  const std::vector<int> former = cells_[cell].workers;
+  cells_.Unbind(cell);
+  const auto cost = [&](int worker) -> std::optional<double> {
+    if (!workers_[worker].Unpromised().Holds(promised.per_worker)) {
+      return std::nullopt;
+    }
+    return victims.Cost(worker, wanted.per_worker, rule);
+  };
+  const auto group = FindGroup(workers_, promised.level, promised.workers,
+                               group_order::kTightest, cost);
+  cells_.Bind(cell, former);
+  std::optional<cell_choice> best = ChooseTwinCell(job, cell);
+  if (group && (!best || group->cost < best->cost)) {
+    const auto end = group->workers.begin() + wanted.workers;
+    best = cell_choice{
+        cell, group->workers, {group->workers.begin(), end}, group->cost};
+  }
+  return best;
+}
+
+std::optional<planner::impl::cell_choice> planner::impl::ChooseTwinCell(
+    int job,
+    int cell) const {
+  std::optional<cell_choice> best;
+  for (int twin = 0; twin < cells_.size(); ++twin) {
+    const guarantee_cell& item = cells_[twin];
+    if (item.IsUsed() || !item.IsBound() ||
+        !IsSameShape(item.promised, cells_[cell].promised)) {
+      continue;
+    }
+    std::optional<cell_choice> choice = ChooseInUsedCell(job, twin);
+    if (choice && (!best || choice->cost < best->cost)) {
+      best = std::move(choice);
+    }
+    if (best && best->cost == 0) {
+      break;
+    }
+  }
+  return best;
+}
+
+void planner::impl::ApplyChoice(int job, const cell_choice& choice) {
+  job_entry& entry = jobs_[job];
+  int cell = choice.cell;
+  if (!choice.cell_workers.empty()) {
+    cells_.Unbind(cell);
+    cells_.Bind(cell, choice.cell_workers);
+  } else if (cells_[cell].team != entry.team) {
+    cell = cells_.Exchange(cell, entry.team);
+  }
+  jobs_.Dequeue(job);
+  entry.terms = hold_terms::kGuaranteed;
+  entry.cell = cell;
+  entry.workers = choice.workers;
+  entry.need = entry.wanted->per_worker;
+  cells_.Enter(cell, entry.workers, entry.need);
+  const std::size_t stops = plan_.stops.size();
+  TakeOrClaim(job, {true, job, 0});
+  if (plan_.stops.size() > stops) {
+    counters_.Add(kReclaims);
+  }
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/job/planner_impl.h
@@ -0,0 +1,171 @@
+#ifndef SASSAFRAS_JOB_PLANNER_IMPL_H_
+#define SASSAFRAS_JOB_PLANNER_IMPL_H_
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sassafras/job/planner.h"
+#include "src/job/guarantee_table.h"
+#include "src/job/inventory.h"
+#include "src/job/job_table.h"
+#include "src/job/reservation.h"
+#include "src/job/run_estimates.h"
+#include "src/job/victims.h"
+
+namespace sassafras {
+
+/// One team as the planner counts it.
+struct team_state {
+  team_id id;
+  int share = 1;
+  std::int64_t accelerators = 0;  ///< Held by its jobs.
+};
+
+/// State of the planner. planner_state.cc keeps the tables, planner_decide.cc
+/// and planner_guarantee.cc choose, planner_drain.cc keeps reservations, and
+/// planner_explain.cc tells why a job waits.
+class planner::impl {
+ public:
+  impl(planner_options options, counter_table& counters);
+
+  void SetConfig(const config_ptr& config);
+  void SetUsable(const worker_id& worker, bool usable);
+  std::optional<error> Add(const planned_job& job);
+  void AddPlaced(const planned_job& job,
+                 const std::vector<worker_id>& workers,
+                 bool borrowed,
+                 job_phase phase,
+                 instant started);
+  void SetPhase(const job_id& job, job_phase phase, instant now);
+  void SetCheckpointed(const job_id& job, instant now);
+  void Remove(const job_id& job, std::optional<duration> run);
+  plan Decide(instant now);
+  std::string Explain(const job_id& job) const;
+  std::vector<team_id> BrokenGuarantees() const;
+
+ private:
+  // Place in the order in which waiting jobs are looked at.
+  struct queue_rank {
+    int urgency = 0;
+    double share_use = 0;
+    arrival order;
+    bucket_key key;
+
+    auto operator<=>(const queue_rank&) const = default;
+  };
+
+  // Jobs that fail alike within one decision.
+  struct failed_search {
+    const shape* wanted = nullptr;
+    hold_terms terms = hold_terms::kNone;
+    std::uint64_t allowed = 0;  // Reservations that let the job in.
+
+    auto operator<=>(const failed_search&) const = default;
+  };
+
+  // A cell chosen for a job, and the workers of the job in it.
+  struct cell_choice {
+    int cell = -1;
+    std::vector<int> cell_workers;  // Empty if the cell stays where it is.
+    std::vector<int> workers;
+    double cost = 0;
+  };
+
+  // planner_state.cc
+  void Resolve(job_entry& entry) const;
+  void LoadTeams();
+  void RestoreHolds();
+  void RestoreCells(const std::vector<guarantee_cell>& former,
+                    const std::vector<team_state>& former_teams,
+                    const std::vector<worker_id>& former_workers);
+  bool FitsInventory(const shape& wanted, bool beyond_guarantees) const;
+  std::optional<error> CheckFits(const job_entry& entry);
+  void Occupy(int job);
+  void Vacate(int job);
+  void MarkStopping(int job, bool stopping);
+  void DropClaim(int job);
+  void EmptyCell(int cell);
+  void DetachFromCell(int job);
+  bool AdoptCell(int job);
+  void PromiseFirm(int job);
+  void Withdraw(int job);
+
+  // planner_decide.cc
+  bool IsBaseline() const { return policy_ != planner_policy::kReserve; }
+  bool IsHeldBack(int job) const;
+  hold_terms OpenTerms(const job_entry& entry) const;
+  void RepairGuarantees();
+  void RepeatStops();
+  void FinishClaims();
+  void UpdateShareUse();
+  queue_rank RankOf(const bucket_key& key, const bucket& waiting) const;
+  std::vector<queue_rank> RankedBuckets() const;
+  const bucket* FindBucket(const bucket_key& key) const;
+  void PlaceGuaranteed();
+  bool StartOnGuarantee(int job);
+  std::optional<cell_choice> ChooseInUsedCell(int job, int cell) const;
+  std::optional<cell_choice> ChooseForUnusedCell(int job, int cell);
+  std::optional<cell_choice> ChooseTwinCell(int job, int cell) const;
+  void ApplyChoice(int job, const cell_choice& choice);
+  void TakeOrClaim(int job, const eviction_rule& rule);
+  void PlaceReserved();
+  void PlaceOpen();
+  bool StartOpen(int job);
+  bool PlaceOpenOn(int job,
+                   const std::vector<int>& workers,
+                   const eviction_rule& rule);
+  void IndexReservations();
+  void DropReservation(std::size_t at);
+  void DropReservationOf(int job);
+  void PromiseReserved();
+  void WithdrawReserved(reservation& item);
+  void KeepReservations(const reservation_input& input);
+  std::uint64_t AllowedReservations(int job) const;
+  void UpdateReservations(const std::vector<int>& blocked);
+  void DrainForReservations();
+  bool DrainFor(int job);
+  void StopVictim(int victim, int beneficiary);
+  void Start(int job);
+  duration ExpectedRun(const job_entry& entry) const;
+  instant ExpectedEnd(int job) const;
+  victim_search Victims() const;
+
+  // planner_explain.cc
+  std::string DescribeNeed(const shape& wanted) const;
+  bool HasFreeGroup(int job, bool unpromised, bool open) const;
+  std::string ExplainPlaceable(int job) const;
+
+  planner_policy policy_;
+  counter_table& counters_;
+  config_ptr config_;
+  std::set<worker_id> unusable_;
+  inventory workers_;
+  guarantee_table cells_;
+  job_table jobs_;
+  std::vector<team_state> teams_;
+  std::vector<double> share_use_;
+  std::map<std::pair<const shape*, bool>, bool> fits_;
+  run_estimates estimates_;
+  std::uint64_t next_sequence_ = 0;
+
+  std::set<int> claiming_;
+  std::set<int> unconfirmed_stops_;
+  std::vector<reservation> reservations_;
+  std::vector<std::uint64_t> reserved_on_;  // Reservations by worker, as bits.
+  instant reservations_planned_;
+  bool promises_changed_ = true;
+  bool reserved_changed_ = true;  // Firm work left since they were promised.
+
+  instant now_;
+  int starts_left_ = 0;
+  plan plan_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_JOB_PLANNER_IMPL_H_
--- /dev/null
+++ b/src/job/planner_state.cc
@@ -0,0 +1,500 @@
+#include <algorithm>
+#include <utility>
+
+#include "sassafras/core/result.h"
+#include "sassafras/world/packing.h"
+#include "src/job/planner_impl.h"
+
+namespace sassafras {
+namespace {
+
+// Empty workers of the configuration, as a packing starts from.
+std::vector<worker_space> EmptySpaces(const inventory& workers) {
+  std::vector<worker_space> spaces;
+  for (int i = 0; i < workers.size(); ++i) {
+    const worker_state& state = workers[i];
+    if (state.rack >= 0) {
+      spaces.push_back({state.rack, state.place, state.capacity});
+    }
+  }
+  return spaces;
+}
+
+shape_demand DemandOf(const shape& wanted) {
+  return {wanted.level, wanted.workers, wanted.per_worker, /*count=*/1};
+}
+
+bool IsInside(const std::vector<int>& outer, const std::vector<int>& inner) {
+  return std::all_of(inner.begin(), inner.end(), [&](int worker) {
+    return std::find(outer.begin(), outer.end(), worker) != outer.end();
+  });
+}
+
+}  // namespace
+
+planner::impl::impl(planner_options options, counter_table& counters)
+    : policy_(options.policy), counters_(counters), cells_(workers_) {}
+
+void planner::impl::SetConfig(const config_ptr& config) {
+  std::vector<guarantee_cell> former_cells;
+  former_cells.reserve(static_cast<std::size_t>(cells_.size()));
+  for (int cell = 0; cell < cells_.size(); ++cell) {
+    former_cells.push_back(cells_[cell]);
+  }
+  std::vector<worker_id> former_workers;
+  former_workers.reserve(static_cast<std::size_t>(workers_.size()));
+  for (int i = 0; i < workers_.size(); ++i) {
+    former_workers.push_back(workers_[i].id);
+  }
+  const std::vector<team_state> former_teams = teams_;
+  while (!claiming_.empty()) {
+    DropClaim(*claiming_.begin());
+  }
+  jobs_.ClearBuckets();
+  reservations_.clear();
+  fits_.clear();
+  config_ = config;
+  workers_.Load(config_->objects, unusable_);
+  LoadTeams();
+  cells_.Load(config_->objects, !IsBaseline());
+  RestoreHolds();
+  RestoreCells(former_cells, former_teams, former_workers);
+  promises_changed_ = true;
+  RepairGuarantees();
+}
+
+void planner::impl::LoadTeams() {
+  teams_.clear();
+  for (const auto& [id, item] : config_->objects.teams) {
+    teams_.push_back({id, std::max(item.share, 1), 0});
+  }
+  share_use_.assign(teams_.size(), 0);
+}
+
+void planner::impl::Resolve(job_entry& entry) const {
+  const config_set& objects = config_->objects;
+  const auto wanted = objects.shapes.find(entry.job.shape);
+  entry.wanted = wanted == objects.shapes.end() ? nullptr : &wanted->second;
+  const auto found = objects.classes.find(entry.job.job_class);
+  const bool is_job =
+      found != objects.classes.end() && found->second.kind == class_kind::kJob;
+  entry.class_object = is_job ? &found->second : nullptr;
+  const auto team = std::lower_bound(
+      teams_.begin(), teams_.end(), entry.job.team,
+      [](const team_state& item, const team_id& id) { return item.id < id; });
+  const bool known = team != teams_.end() && team->id == entry.job.team;
+  entry.team = known ? static_cast<int>(team - teams_.begin()) : -1;
+}
+
+// Puts every job back on its workers. Cells are restored afterwards.
+void planner::impl::RestoreHolds() {
+  for (const auto& [id, job] : jobs_.Index()) {
+    job_entry& entry = jobs_[job];
+    Resolve(entry);
+    if (entry.terms == hold_terms::kNone) {
+      jobs_.Enqueue(job);
+      continue;
+    }
+    entry.workers.clear();
+    for (const worker_id& name : entry.worker_names) {
+      entry.workers.push_back(workers_.IndexOf(name));
+    }
+    Occupy(job);
+    if (entry.terms == hold_terms::kFirm) {
+      PromiseFirm(job);
+    }
+  }
+}
+
+// Binds the cells in use to where they were; a job whose cell is gone or does
+// not fit there becomes firm work.
+void planner::impl::RestoreCells(const std::vector<guarantee_cell>& former,
+                                 const std::vector<team_state>& former_teams,
+                                 const std::vector<worker_id>& former_workers) {
+  std::map<int, std::vector<int>> inside;
+  for (const auto& [id, job] : jobs_.Index()) {
+    if (jobs_[job].terms == hold_terms::kGuaranteed) {
+      inside[jobs_[job].cell].push_back(job);
+    }
+  }
+  for (const auto& [former_cell, members] : inside) {
+    const guarantee_cell& old = former[static_cast<std::size_t>(former_cell)];
+    std::vector<int> workers;
+    for (const int worker : old.workers) {
+      workers.push_back(
+          workers_.IndexOf(former_workers[static_cast<std::size_t>(worker)]));
+    }
+    int found = -1;
+    for (int cell = 0; cell < cells_.size() && found < 0; ++cell) {
+      const guarantee_cell& item = cells_[cell];
+      const team_id& team = teams_[static_cast<std::size_t>(item.team)].id;
+      const bool same =
+          team == former_teams[static_cast<std::size_t>(old.team)].id &&
+          item.promised.id == old.promised.id &&
+          item.promised.per_worker == old.promised.per_worker &&
+          item.promised.workers == old.promised.workers;
+      found = same && !item.IsBound() ? cell : -1;
+    }
+    const bool fits =
+        found >= 0 &&
+        std::all_of(workers.begin(), workers.end(), [&](int worker) {
+          return workers_[worker].usable &&
+                 workers_[worker].Unpromised().Holds(old.promised.per_worker);
+        });
+    if (fits) {
+      cells_.Bind(found, workers);
+    }
+    for (const int job : members) {
+      job_entry& entry = jobs_[job];
+      if (fits) {
+        entry.cell = found;
+        cells_.Enter(found, entry.workers, entry.need);
+      } else {
+        entry.cell = -1;
+        entry.terms = hold_terms::kFirm;
+        PromiseFirm(job);
+      }
+    }
+  }
+}
+
+void planner::impl::SetUsable(const worker_id& worker, bool usable) {
+  if (usable) {
+    unusable_.erase(worker);
+  } else {
+    unusable_.insert(worker);
+  }
+  const int index = workers_.Find(worker);
+  if (config_ == nullptr || index < 0) {
+    return;
+  }
+  const auto item = config_->objects.workers.find(worker);
+  const bool known = item != config_->objects.workers.end();
+  worker_state& state = workers_[index];
+  state.usable = usable && known && !item->second.leaving;
+  promises_changed_ = true;
+  if (state.usable) {
+    return;
+  }
+  const std::vector<int> occupants = state.occupants;
+  for (const int job : occupants) {
+    if (jobs_[job].claiming) {
+      DropClaim(job);
+    }
+  }
+  for (int cell = 0; cell < cells_.size(); ++cell) {
+    if (cells_[cell].IsUsed() && IsInside(cells_[cell].workers, {index})) {
+      EmptyCell(cell);
+    }
+  }
+}
+
+// Makes the jobs of a cell firm work, so that the cell can move.
+void planner::impl::EmptyCell(int cell) {
+  std::vector<int> members;
+  for (const auto& [id, job] : jobs_.Index()) {
+    if (jobs_[job].cell == cell) {
+      members.push_back(job);
+    }
+  }
+  for (const int job : members) {
+    if (jobs_[job].claiming) {
+      DropClaim(job);
+    } else {
+      DetachFromCell(job);
+    }
+  }
+}
+
+bool planner::impl::FitsInventory(const shape& wanted,
+                                  bool beyond_guarantees) const {
+  std::vector<shape_demand> demands = {DemandOf(wanted)};
+  for (int cell = 0; beyond_guarantees && cell < cells_.size(); ++cell) {
+    demands.push_back(DemandOf(cells_[cell].promised));
+  }
+  return PackShapes(EmptySpaces(workers_), demands).has_value();
+}
+
+std::optional<error> planner::impl::CheckFits(const job_entry& entry) {
+  const auto& own = cells_.OfTeam(entry.team);
+  const bool has_cell = std::any_of(own.begin(), own.end(), [&](int cell) {
+    return CanHold(cells_[cell].promised, *entry.wanted);
+  });
+  const bool beyond = !has_cell && OpenTerms(entry) == hold_terms::kFirm;
+  const auto [it, added] = fits_.try_emplace({entry.wanted, beyond}, false);
+  if (added) {
+    it->second = FitsInventory(*entry.wanted, beyond);
+  }
+  if (it->second) {
+    return std::nullopt;
+  }
+  counters_.AddError(error_kind::kNeverFits);
+  return Fail(error_kind::kNeverFits,
+              "shape " + entry.wanted->id.value +
+                  (beyond ? " does not fit beside the guarantees of all teams"
+                          : " does not fit any group of workers"));
+}
+
+std::optional<error> planner::impl::Add(const planned_job& job) {
+  if (config_ == nullptr) {
+    return Fail(error_kind::kNoConfiguration);
+  }
+  if (jobs_.Find(job.id) >= 0) {
+    return std::nullopt;
+  }
+  job_entry entry;
+  entry.job = job;
+  Resolve(entry);
+  if (!entry.IsPlaceable()) {
+    return Fail(error_kind::kNotFound, "no such shape, team or job class");
+  }
+  if (std::optional<error> refusal = CheckFits(entry)) {
+    return refusal;
+  }
+  entry.order = {job.submitted, next_sequence_++};
+  jobs_.Enqueue(jobs_.Insert(std::move(entry)));
+  return std::nullopt;
+}
+
+void planner::impl::AddPlaced(const planned_job& job,
+                              const std::vector<worker_id>& workers,
+                              bool borrowed,
+                              job_phase phase,
+                              instant started) {
+  if (config_ == nullptr || jobs_.Find(job.id) >= 0) {
+    return;
+  }
+  job_entry entry;
+  entry.job = job;
+  entry.order = {job.submitted, next_sequence_++};
+  entry.started = started;
+  entry.phase = phase == job_phase::kStopping ? job_phase::kRunning : phase;
+  entry.worker_names = workers;
+  Resolve(entry);
+  for (const worker_id& name : workers) {
+    entry.workers.push_back(workers_.IndexOf(name));
+  }
+  if (entry.wanted != nullptr) {
+    entry.need = entry.wanted->per_worker;
+  } else if (!workers.empty()) {
+    // The shape is gone: nothing else may be placed beside it.
+    entry.need = workers_[entry.workers.front()].capacity;
+  }
+  const int index = jobs_.Insert(std::move(entry));
+  if (phase == job_phase::kWaiting) {
+    jobs_[index].workers.clear();
+    jobs_[index].worker_names.clear();
+    jobs_.Enqueue(index);
+    return;
+  }
+  jobs_[index].terms = borrowed ? hold_terms::kBorrowed : hold_terms::kFirm;
+  Occupy(index);
+  if (!borrowed && !AdoptCell(index)) {
+    PromiseFirm(index);
+  }
+  if (phase == job_phase::kStopping) {
+    MarkStopping(index, true);
+  }
+}
+
+// Binds an unused cell of the team to the workers that the job holds.
+bool planner::impl::AdoptCell(int job) {
+  job_entry& entry = jobs_[job];
+  if (!entry.IsPlaceable() || IsBaseline()) {
+    return false;
+  }
+  for (const int cell : cells_.OfTeam(entry.team)) {
+    const shape& promised = cells_[cell].promised;
+    if (cells_[cell].IsUsed() || !CanHold(promised, *entry.wanted)) {
+      continue;
+    }
+    if (!cells_.MakeRoom(entry.workers, promised.per_worker)) {
+      continue;
+    }
+    if (cells_[cell].IsBound()) {
+      cells_.Unbind(cell);
+    }
+    promises_changed_ = true;
+    const auto cost = [&](int worker) -> std::optional<double> {
+      if (!workers_[worker].Unpromised().Holds(promised.per_worker)) {
+        return std::nullopt;
+      }
+      return IsInside(entry.workers, {worker}) ? 0 : 1;
+    };
+    const auto group = FindGroup(workers_, promised.level, promised.workers,
+                                 group_order::kTightest, cost);
+    if (group && IsInside(group->workers, entry.workers)) {
+      cells_.Bind(cell, group->workers);
+      cells_.Enter(cell, entry.workers, entry.need);
+      entry.cell = cell;
+      entry.terms = hold_terms::kGuaranteed;
+      return true;
+    }
+  }
+  return false;
+}
+
+// Notes firm work on its workers, whether or not the guarantees still fit.
+void planner::impl::PromiseFirm(int job) {
+  const job_entry& entry = jobs_[job];
+  cells_.MakeRoom(entry.workers, entry.need);
+  for (const int worker : entry.workers) {
+    workers_[worker].promised += entry.need;
+  }
+  promises_changed_ = true;
+}
+
+void planner::impl::DetachFromCell(int job) {
+  job_entry& entry = jobs_[job];
+  cells_.Leave(entry.cell, entry.workers, entry.need);
+  if (!cells_[entry.cell].IsUsed()) {
+    cells_.Unbind(entry.cell);
+  }
+  entry.cell = -1;
+  entry.terms = hold_terms::kFirm;
+  PromiseFirm(job);
+}
+
+void planner::impl::Occupy(int job) {
+  const job_entry& entry = jobs_[job];
+  for (const int worker : entry.workers) {
+    workers_.Hold(worker, job, entry.need);
+    if (entry.phase == job_phase::kStopping) {
+      workers_[worker].stopping += entry.need;
+    }
+  }
+  if (entry.team >= 0) {
+    teams_[static_cast<std::size_t>(entry.team)].accelerators +=
+        entry.Accelerators();
+  }
+}
+
+void planner::impl::Vacate(int job) {
+  job_entry& entry = jobs_[job];
+  if (entry.terms == hold_terms::kNone) {
+    return;
+  }
+  MarkStopping(job, false);
+  for (const int worker : entry.workers) {
+    workers_.Release(worker, job, entry.need);
+  }
+  if (entry.team >= 0) {
+    teams_[static_cast<std::size_t>(entry.team)].accelerators -=
+        entry.Accelerators();
+  }
+  Withdraw(job);
+}
+
+// Takes back what a job was promised, and forgets its workers.
+void planner::impl::Withdraw(int job) {
+  job_entry& entry = jobs_[job];
+  if (entry.terms == hold_terms::kGuaranteed) {
+    cells_.Leave(entry.cell, entry.workers, entry.need);
+    promises_changed_ = true;
+  }
+  if (entry.terms == hold_terms::kFirm) {
+    for (const int worker : entry.workers) {
+      workers_[worker].promised -= entry.need;
+    }
+    promises_changed_ = true;
+  }
+  entry.cell = -1;
+  entry.terms = hold_terms::kNone;
+  entry.workers.clear();
+  entry.worker_names.clear();
+}
+
+void planner::impl::DropClaim(int job) {
+  job_entry& entry = jobs_[job];
+  for (const int worker : entry.workers) {
+    workers_.Unclaim(worker, job, entry.need);
+  }
+  entry.claiming = false;
+  claiming_.erase(job);
+  Withdraw(job);
+  jobs_.Enqueue(job);
+}
+
+void planner::impl::MarkStopping(int job, bool stopping) {
+  job_entry& entry = jobs_[job];
+  const bool marked = entry.phase == job_phase::kStopping;
+  unconfirmed_stops_.erase(job);
+  if (marked == stopping) {
+    return;
+  }
+  for (const int worker : entry.workers) {
+    if (stopping) {
+      workers_[worker].stopping += entry.need;
+    } else {
+      workers_[worker].stopping -= entry.need;
+    }
+  }
+  entry.phase = stopping ? job_phase::kStopping : job_phase::kRunning;
+}
+
+void planner::impl::SetPhase(const job_id& job, job_phase phase, instant now) {
+  const int index = jobs_.Find(job);
+  if (index < 0 || jobs_[index].terms == hold_terms::kNone ||
+      jobs_[index].claiming) {
+    return;
+  }
+  job_entry& entry = jobs_[index];
+  switch (phase) {
+    case job_phase::kWaiting:
+      Vacate(index);
+      entry.phase = job_phase::kWaiting;
+      jobs_.Enqueue(index);
+      return;
+    case job_phase::kStopping:
+      MarkStopping(index, true);
+      return;
+    case job_phase::kRunning:
+      entry.started = entry.phase == job_phase::kStarting ? now : entry.started;
+      [[fallthrough]];
+    case job_phase::kStarting:
+      MarkStopping(index, false);
+      entry.phase = phase;
+      return;
+  }
+}
+
+void planner::impl::SetCheckpointed(const job_id& job, instant now) {
+  const int index = jobs_.Find(job);
+  if (index >= 0) {
+    jobs_[index].checkpointed = now;
+  }
+}
+
+void planner::impl::Remove(const job_id& job, std::optional<duration> run) {
+  const int index = jobs_.Find(job);
+  if (index < 0) {
+    return;
+  }
+  const job_entry& entry = jobs_[index];
+  if (run) {
+    estimates_.Add(entry.job.team, entry.job.job_class, entry.job.declared_run,
+                   *run);
+  }
+  if (entry.claiming) {
+    DropClaim(index);
+  }
+  if (entry.terms == hold_terms::kNone) {
+    jobs_.Dequeue(index);
+  } else {
+    Vacate(index);
+  }
+  DropReservationOf(index);
+  jobs_.Erase(index);
+}
+
+std::vector<team_id> planner::impl::BrokenGuarantees() const {
+  std::set<team_id> broken;
+  for (int cell = 0; cell < cells_.size(); ++cell) {
+    if (!cells_[cell].IsBound()) {
+      broken.insert(teams_[static_cast<std::size_t>(cells_[cell].team)].id);
+    }
+  }
+  return {broken.begin(), broken.end()};
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/job/reservation.cc
@@ -0,0 +1,130 @@
+#include "src/job/reservation.h"
+
+#include <algorithm>
+
+#include "src/job/group_search.h"
+
+namespace sassafras {
+namespace {
+
+// How one worker becomes free for a gang.
+struct release {
+  instant ready;
+  double lost = 0;  // Accelerator seconds of the jobs that are moved.
+};
+
+class planning {
+ public:
+  planning(const reservation_input& input,
+           int job,
+           const std::vector<reservation>& others)
+      : input_(input),
+        need_(input.jobs[job].wanted->per_worker),
+        taken_(static_cast<std::size_t>(input.workers.size()), false) {
+    rule_.beneficiary = job;
+    rule_.least_accelerators = input.jobs[job].wanted->TotalAccelerators();
+    for (const reservation& other : others) {
+      for (const int worker : other.workers) {
+        taken_[static_cast<std::size_t>(worker)] = true;
+      }
+    }
+  }
+
+  std::optional<instant> ReadyOn(const std::vector<int>& workers) const {
+    instant ready = input_.now;
+    for (const int worker : workers) {
+      const std::optional<release> found = ReleaseOf(worker);
+      if (!found || !input_.workers[worker].usable) {
+        return std::nullopt;
+      }
+      ready = std::max(ready, found->ready);
+    }
+    return ready;
+  }
+
+  std::optional<reservation> Run() {
+    const shape& wanted = *input_.jobs[rule_.beneficiary].wanted;
+    const auto cost = [this](int worker) { return CostOf(worker); };
+    const auto group = FindGroup(input_.workers, wanted.level, wanted.workers,
+                                 group_order::kTightest, cost);
+    if (!group) {
+      return std::nullopt;
+    }
+    return reservation{
+        rule_.beneficiary, group->workers, *ReadyOn(group->workers), {}};
+  }
+
+ private:
+  std::optional<double> CostOf(int worker) const {
+    if (taken_[static_cast<std::size_t>(worker)]) {
+      return std::nullopt;
+    }
+    const std::optional<release> found = ReleaseOf(worker);
+    if (!found) {
+      return std::nullopt;
+    }
+    const std::chrono::duration<double> wait = found->ready - input_.now;
+    return wait.count() * need_.accelerators + found->lost;
+  }
+
+  std::optional<release> ReleaseOf(int worker) const {
+    const worker_state& state = input_.workers[worker];
+    resources left = state.Free();
+    if (left.Holds(need_)) {
+      return release{input_.now, 0};
+    }
+    left = state.SoonFree();
+    release found{input_.now + kGreatestGrace, 0};
+    if (left.Holds(need_)) {
+      return found;
+    }
+    if (input_.may_evict) {
+      const std::optional<double> lost =
+          input_.victims.Cost(worker, need_, rule_);
+      if (lost) {
+        found.lost = *lost;
+        return found;
+      }
+    }
+    return ReleaseByEnds(state, left);
+  }
+
+  std::optional<release> ReleaseByEnds(const worker_state& state,
+                                       resources left) const {
+    std::vector<std::pair<instant, int>> ends;
+    for (const int job : state.occupants) {
+      if (input_.jobs[job].phase != job_phase::kStopping) {
+        ends.emplace_back(input_.end(job), job);
+      }
+    }
+    std::sort(ends.begin(), ends.end());
+    for (const auto& [end, job] : ends) {
+      left += input_.jobs[job].need;
+      if (left.Holds(need_)) {
+        return release{std::max(end, input_.now), 0};
+      }
+    }
+    return std::nullopt;
+  }
+
+  const reservation_input& input_;
+  resources need_;
+  std::vector<bool> taken_;
+  eviction_rule rule_;
+};
+
+}  // namespace
+
+std::optional<instant> ReadyTime(const reservation_input& input,
+                                 const reservation& planned) {
+  return planning(input, planned.job, {}).ReadyOn(planned.workers);
+}
+
+std::optional<reservation> PlanReservation(
+    const reservation_input& input,
+    int job,
+    const std::vector<reservation>& others) {
+  return planning(input, job, others).Run();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/src/job/victims.cc
@@ -0,0 +1,166 @@
+#include "src/job/victims.h"
+
+#include <algorithm>
+
+namespace sassafras {
+namespace {
+
+// Cost of waiting for jobs that are stopping already, so that free workers are
+// preferred to them.
+constexpr double kStoppingCost = 1;
+// Each earlier eviction makes a job dearer by this part of its loss.
+constexpr double kEvictionWeight = 1;
+constexpr double kLeastShareWeight = 0.5;
+constexpr double kGreatestShareWeight = 2;
+
+double ClassWeight(urgency order) {
+  switch (order) {
+    case urgency::kUrgent:
+      return 4;
+    case urgency::kNormal:
+      return 2;
+    case urgency::kBatch:
+      return 1;
+  }
+  return 1;
+}
+
+double Seconds(duration time) {
+  return std::chrono::duration<double>(time).count();
+}
+
+bool Contains(const std::vector<int>& list, int value) {
+  return std::find(list.begin(), list.end(), value) != list.end();
+}
+
+}  // namespace
+
+bool victim_search::MayCheckpoint(int job) const {
+  const job_entry& entry = jobs_[job];
+  return entry.class_object != nullptr && entry.class_object->checkpoint &&
+         entry.class_object->checkpoint_grace <= kGreatestGrace;
+}
+
+double victim_search::Loss(int job) const {
+  const job_entry& entry = jobs_[job];
+  if (entry.claiming) {
+    return 0;
+  }
+  duration lost = kRestartLoss;
+  if (!MayCheckpoint(job)) {
+    lost += now_ - std::max(entry.started, entry.checkpointed);
+  }
+  double loss = Seconds(lost) * std::max(entry.Accelerators(), 1);
+  if (entry.class_object != nullptr) {
+    loss *= ClassWeight(entry.class_object->order);
+  }
+  loss *= 1 + kEvictionWeight * entry.evictions;
+  if (entry.team >= 0) {
+    // A team over its share gives way before one under it.
+    const double use = share_use_[static_cast<std::size_t>(entry.team)];
+    loss *= std::clamp(1 / std::max(use, kLeastShareWeight), kLeastShareWeight,
+                       kGreatestShareWeight);
+  }
+  return loss;
+}
+
+bool victim_search::MayGiveWay(int job, const eviction_rule& rule) const {
+  const job_entry& entry = jobs_[job];
+  if (job == rule.beneficiary || entry.terms != hold_terms::kBorrowed) {
+    return false;
+  }
+  if (entry.claiming) {
+    return rule.claims_too;
+  }
+  if (entry.phase == job_phase::kStopping) {
+    return false;
+  }
+  return rule.least_accelerators == 0 ||
+         entry.Accelerators() < rule.least_accelerators;
+}
+
+std::vector<int> victim_search::Cheapest(int worker,
+                                         const eviction_rule& rule) const {
+  std::vector<std::pair<double, int>> order;
+  for (const int job : workers_[worker].occupants) {
+    if (MayGiveWay(job, rule)) {
+      order.emplace_back(Loss(job), job);
+    }
+  }
+  std::sort(order.begin(), order.end());
+  std::vector<int> jobs;
+  jobs.reserve(order.size());
+  for (const auto& [loss, job] : order) {
+    jobs.push_back(job);
+  }
+  return jobs;
+}
+
+std::optional<double> victim_search::Cost(int worker,
+                                          const resources& need,
+                                          const eviction_rule& rule) const {
+  const worker_state& state = workers_[worker];
+  if (state.Free().Holds(need)) {
+    return 0;
+  }
+  resources left = state.SoonFree();
+  double cost = kStoppingCost;
+  if (left.Holds(need)) {
+    return cost;
+  }
+  for (const int job : Cheapest(worker, rule)) {
+    left += jobs_[job].need;
+    cost += Loss(job);
+    if (left.Holds(need)) {
+      return cost;
+    }
+  }
+  return std::nullopt;
+}
+
+resources victim_search::LeftWithout(int worker,
+                                     const std::vector<int>& victims) const {
+  resources left = workers_[worker].SoonFree();
+  for (const int job : workers_[worker].occupants) {
+    if (Contains(victims, job)) {
+      left += jobs_[job].need;
+    }
+  }
+  return left;
+}
+
+std::vector<int> victim_search::Choose(const std::vector<int>& chosen,
+                                       const resources& need,
+                                       const eviction_rule& rule) const {
+  std::vector<int> victims;
+  for (const int worker : chosen) {
+    resources left = LeftWithout(worker, victims);
+    for (const int job : Cheapest(worker, rule)) {
+      if (left.Holds(need)) {
+        break;
+      }
+      if (!Contains(victims, job)) {
+        victims.push_back(job);
+        left += jobs_[job].need;
+      }
+    }
+  }
+  // A gang chosen for a later worker may make an earlier choice superfluous.
+  std::stable_sort(victims.begin(), victims.end(),
+                   [&](int a, int b) { return Loss(a) > Loss(b); });
+  for (std::size_t i = 0; i < victims.size();) {
+    std::vector<int> without = victims;
+    without.erase(without.begin() + static_cast<std::ptrdiff_t>(i));
+    const bool enough = std::all_of(
+        chosen.begin(), chosen.end(),
+        [&](int worker) { return LeftWithout(worker, without).Holds(need); });
+    if (enough) {
+      victims = std::move(without);
+    } else {
+      ++i;
+    }
+  }
+  return victims;
+}
+
+}  // namespace sassafras
--- a/src/world/packing.cc
+++ b/src/world/packing.cc
@@ -1,6 +1,8 @@
 #include "sassafras/world/packing.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <map>
 #include <numeric>
 
@@ -62,8 +64,65 @@
   return best;
 }
 
+// How often `need` fits into `free`.
+int Multiples(const resources& free, const resources& need) {
+  std::int64_t times = std::numeric_limits<int>::max();
+  if (need.accelerators > 0) {
+    times =
+        std::min<std::int64_t>(times, free.accelerators / need.accelerators);
+  }
+  if (need.cores > 0) {
+    times = std::min<std::int64_t>(times, free.cores / need.cores);
+  }
+  if (need.memory_mb > 0) {
+    times = std::min<std::int64_t>(times, free.memory_mb / need.memory_mb);
+  }
+  return static_cast<int>(std::max<std::int64_t>(times, 0));
+}
+
+// Most gangs of `workers` distinct members when member i can serve in
+// `multiples[i]` of them: the greatest k for which the members, each in at
+// most k gangs, add up to k gangs.
+int CountGangs(const std::vector<int>& multiples, int workers) {
+  const auto possible = [&](std::int64_t gangs) {
+    std::int64_t seats = 0;
+    for (const int times : multiples) {
+      seats += std::min<std::int64_t>(times, gangs);
+    }
+    return seats >= gangs * workers;
+  };
+  std::int64_t low = 0;
+  std::int64_t high = 1;
+  for (const int times : multiples) {
+    high = std::max<std::int64_t>(high, std::int64_t{times} + 1);
+  }
+  high *= static_cast<std::int64_t>(multiples.size()) + 1;
+  while (high - low > 1) {
+    const std::int64_t middle = (low + high) / 2;
+    (possible(middle) ? low : high) = middle;
+  }
+  return static_cast<int>(low);
+}
+
 }  // namespace
 
+int CountInstances(const std::vector<worker_space>& spaces,
+                   const shape_demand& demand) {
+  std::map<int, std::vector<int>> groups;
+  for (int i = 0; i < static_cast<int>(spaces.size()); ++i) {
+    const worker_space& space = spaces[static_cast<std::size_t>(i)];
+    const int times = Multiples(space.free, demand.per_worker);
+    if (times > 0) {
+      groups[GroupOf(space, i, demand.level)].push_back(times);
+    }
+  }
+  int count = 0;
+  for (const auto& [group, multiples] : groups) {
+    count += CountGangs(multiples, demand.workers);
+  }
+  return count;
+}
+
 std::optional<std::vector<shape_placement>> PackShapes(
     std::vector<worker_space> spaces,
     const std::vector<shape_demand>& demands) {
