--- a/bench/policy_bench.cc
+++ b/bench/policy_bench.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <iostream>
 #include <map>
 #include <string>
@@ -39,7 +40,7 @@
   }
   std::sort(values.begin(), values.end());
   const double last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(part * last + 0.5)];
+  return values[static_cast<std::size_t>(std::lround(part * last))];
 }
 
 // Mean over the shapes, weighted by the accelerator time asked for in each.
--- a/src/job/planner_drain.cc
+++ b/src/job/planner_drain.cc
@@ -43,6 +43,12 @@
   reservations_.erase(reservations_.begin() + static_cast<std::ptrdiff_t>(at));
 }
 
+bool planner::impl::HasReservation(int job) const {
+  return std::any_of(
+      reservations_.begin(), reservations_.end(),
+      [job](const reservation& item) { return item.job == job; });
+}
+
 void planner::impl::DropReservationOf(int job) {
   for (std::size_t i = reservations_.size(); i-- > 0;) {
     if (reservations_[i].job == job) {
@@ -156,10 +162,7 @@
     if (reservations_.size() >= most) {
       break;
     }
-    const bool planned =
-        std::any_of(reservations_.begin(), reservations_.end(),
-                    [&](const reservation& item) { return item.job == job; });
-    if (planned) {
+    if (HasReservation(job)) {
       continue;
     }
     if (auto found = PlanReservation(input, job, reservations_)) {
--- a/src/job/planner_impl.h
+++ b/src/job/planner_impl.h
@@ -121,6 +121,7 @@
                    const eviction_rule& rule);
   void IndexReservations();
   void DropReservation(std::size_t at);
+  bool HasReservation(int job) const;
   void DropReservationOf(int job);
   void PromiseReserved();
   void WithdrawReserved(reservation& item);
--- a/tests/packing_test.cc
+++ b/tests/packing_test.cc
@@ -12,6 +12,7 @@
 // Workers of `free` accelerators each, in one rack.
 std::vector<worker_space> MakeRack(const std::vector<int>& free) {
   std::vector<worker_space> spaces;
+  spaces.reserve(free.size());
   for (const int accelerators : free) {
     spaces.push_back({0, 0, {accelerators, 130, 256'000}});
   }
--- a/tests/planner_test.cc
+++ b/tests/planner_test.cc
@@ -268,6 +268,7 @@
 TEST_CASE("A smaller job uses a larger guarantee and a third borrows") {
   site world;
   std::vector<job_id> jobs;
+  jobs.reserve(5);
   for (int i = 0; i < 5; ++i) {
     jobs.push_back(world.Submit("owner", "batch", "whole"));
   }
@@ -355,6 +356,7 @@
 TEST_CASE("A waiting gang is not starved by small jobs") {
   site world;
   std::vector<job_id> small;
+  small.reserve(kWorkers);
   for (int i = 0; i < kWorkers; ++i) {
     small.push_back(world.Submit("guest", "billed", "whole"));
   }
