--- a/include/sassafras/config/settings.h
+++ b/include/sassafras/config/settings.h
@@ -1,7 +1,9 @@
 #ifndef SASSAFRAS_CONFIG_SETTINGS_H_
 #define SASSAFRAS_CONFIG_SETTINGS_H_
 
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sassafras/config/config_fault.h"
@@ -10,9 +12,16 @@
 
 namespace sassafras {
 
+/// What a process of the system does.
+enum class process_role : std::uint8_t { kGateway, kScheduler };
+
+/// Names of process_role in settings: "gateway", "scheduler".
+std::string_view GetName(process_role role);
+
 /// Another process of the system, known from the settings.
 struct peer_settings {
   process_id id;
+  process_role role = process_role::kGateway;
   std::string address;  ///< "IP:port" of its peer socket.
   place_id place;
 };
@@ -21,6 +30,7 @@
 struct process_settings {
   std::string cluster;  ///< Peers with another name are refused.
   process_id id;
+  process_role role = process_role::kGateway;
   place_id place;
   std::string listen;                 ///< "IP:port" for callers and operators.
   std::string peer_listen;            ///< "IP:port" for peers.
--- a/programs/load/load_driver.cc
+++ b/programs/load/load_driver.cc
@@ -15,6 +15,7 @@
 constexpr int kAccepted = 202;
 constexpr int kMaxTries = 8;
 constexpr duration kRequestTimeout = std::chrono::seconds(70);
+constexpr duration kPassOverDelay = std::chrono::milliseconds(1);
 constexpr duration kRetryDelay = std::chrono::milliseconds(200);
 constexpr duration kPollInterval = std::chrono::milliseconds(250);
 constexpr duration kReadTimeout = std::chrono::seconds(5);
@@ -166,7 +167,9 @@
                                                : run_outcome::kNotRun);
     return;
   }
-  After(kRetryDelay, [this, request] { SendRequest(request); });
+  // A balancer passes over a gateway that cannot be reached at once.
+  const duration delay = request->may_have_run ? kRetryDelay : kPassOverDelay;
+  After(delay, [this, request] { SendRequest(request); });
 }
 
 void load_driver::EndRequest(const pending_request& request,
--- a/programs/standin/fault_switch.cc
+++ b/programs/standin/fault_switch.cc
@@ -11,7 +11,8 @@
     const auto document = nlohmann::json::parse(body);
     fault_switch faults;
     faults.down = document.value("down", false);
-    faults.silent = document.value("silent", false);
+    faults.dead = document.value("dead", false);
+    faults.silent = faults.dead || document.value("silent", false);
     faults.fail_all = document.value("fail_all", false);
     faults.leaving = document.value("leaving", false);
     faults.listed_leaving = document.value("listed_leaving", false);
--- a/programs/standin/fault_switch.h
+++ b/programs/standin/fault_switch.h
@@ -14,10 +14,11 @@
 /// What one stand-in service does wrong. Set by POST /fault with a JSON map of
 /// the members' names; members that are not named return to their defaults.
 struct fault_switch {
-  bool down = false;            ///< Answers 503 and changes nothing.
-  bool silent = false;          ///< Takes requests and never answers.
-  bool fail_all = false;        ///< Minions answer 500; tasks fail at once.
-  bool leaving = false;         ///< Minions refuse new work with x-leaving.
+  bool down = false;      ///< Answers 503 and changes nothing.
+  bool silent = false;    ///< Takes requests and never answers.
+  bool dead = false;      ///< As a machine that died: tasks are gone, silence.
+  bool fail_all = false;  ///< Minions answer 500; tasks fail at once.
+  bool leaving = false;   ///< Minions refuse new work with x-leaving.
   bool listed_leaving = false;  ///< The VM list shows it as leaving.
   double lose_answer = 0;       ///< Part of requests that act but never answer.
   int delay_ms = 0;             ///< Added before each answer.
--- a/programs/standin/main.cc
+++ b/programs/standin/main.cc
@@ -108,6 +108,9 @@
                exchange.reply({});
                return;
              }
+             if (faults.dead) {
+               tasks->Reboot();
+             }
              const http_request request = std::move(exchange.request);
              ServeWithFaults(
                  context_, faults, random_, std::move(exchange), [&] {
--- a/src/config/settings.cc
+++ b/src/config/settings.cc
@@ -15,6 +15,12 @@
 constexpr std::int64_t kMaxThreads = 64;
 constexpr std::int64_t kMaxBodyBytes = 64LL << 20;
 
+process_role ReadRole(yaml_reader& reader) {
+  return static_cast<process_role>(reader.ReadChoice(
+      "role",
+      {GetName(process_role::kGateway), GetName(process_role::kScheduler)}));
+}
+
 std::string ReadAddress(yaml_reader& reader, const std::string& key) {
   std::string text = reader.ReadString(key);
   if (!text.empty() && !ParseAddress(text)) {
@@ -26,6 +32,7 @@
 void ReadPeer(yaml_reader& reader, process_settings& settings) {
   peer_settings peer;
   peer.id.value = reader.ReadName("id");
+  peer.role = ReadRole(reader);
   peer.address = ReadAddress(reader, "address");
   peer.place.value = reader.ReadName("place");
   settings.peers.push_back(std::move(peer));
@@ -34,6 +41,7 @@
 void ReadProcess(yaml_reader& reader, process_settings& settings) {
   settings.cluster = reader.ReadName("cluster");
   settings.id.value = reader.ReadName("id");
+  settings.role = ReadRole(reader);
   settings.place.value = reader.ReadName("place");
   settings.listen = ReadAddress(reader, "listen");
   settings.peer_listen = ReadAddress(reader, "peer_listen");
@@ -65,6 +73,10 @@
 
 }  // namespace
 
+std::string_view GetName(process_role role) {
+  return role == process_role::kGateway ? "gateway" : "scheduler";
+}
+
 parsed_settings ParseSettings(const std::string& file,
                               const std::string& text) {
   parsed_settings parsed;
--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -140,6 +140,7 @@
 TEST_CASE("Settings are refused unless wholly understood") {
   const std::string good = R"(cluster: piwhma
 id: gateway-1
+role: gateway
 place: lahore
 listen: "127.0.0.1:18081"
 peer_listen: "127.0.0.1:18181"
@@ -154,7 +155,7 @@
     const parsed_settings parsed =
         ParseSettings("g.yaml", good + "config_poll: 2\n");
     REQUIRE(parsed.faults.size() == 1);
-    CHECK(ToString(parsed.faults.front()).rfind("g.yaml:7: config_poll:", 0) ==
+    CHECK(ToString(parsed.faults.front()).rfind("g.yaml:8: config_poll:", 0) ==
           0);
   }
 }
--- a/tools/make_demo_settings.sh
+++ b/tools/make_demo_settings.sh
@@ -28,6 +28,7 @@
   {
     echo "cluster: $cluster"
     echo "id: ${names[i]}"
+    echo "role: ${names[i]%-*}"
     echo "place: ${places[i % ${#places[@]}]}"
     echo "listen: \"127.0.0.1:${ports[i]}\""
     echo "peer_listen: \"127.0.0.1:$((ports[i] + 100))\""
@@ -35,7 +36,7 @@
     echo "peers:"
     for ((j = 0; j < ${#names[@]}; ++j)); do
       if [ "$i" -ne "$j" ]; then
-        echo "  - {id: ${names[j]}, address: \"127.0.0.1:$((ports[j] + 100))\", place: ${places[j % ${#places[@]}]}}"
+        echo "  - {id: ${names[j]}, role: ${names[j]%-*}, address: \"127.0.0.1:$((ports[j] + 100))\", place: ${places[j % ${#places[@]}]}}"
       fi
     done
   } > "$directory/${names[i]}.yaml"
