Charge a job once per worker; tell the planner of a failure at once

Under the reserving planner a bad worker drew 6 to 9 tasks where 3 are allowed, and 6 of 200 jobs ended without having run: on a busy site the oldest job was given the same bad worker as soon as its pause ended, and was charged each time; and the planner learned of a failure up to 500 ms late. The pause of a suspect now doubles with each failure in a row, a job is charged only for failures on workers that are new to it, and the planner is told before its next plan. The test's bounds are as before: 200 of 200 succeed, at most 3 tasks a bad worker.

--- a/include/sassafras/job/worker_health.h
+++ b/include/sassafras/job/worker_health.h
@@ -76,6 +76,7 @@
     bool is_clean = false;
     int lost_calls = 0;
     std::set<job_id> failed_jobs;
+    int failures = 0;  ///< In a row.
     bool is_quarantined = false;
     bool is_on_trial = false;
     int quarantines = 0;
--- a/src/job/job_core_impl.h
+++ b/src/job/job_core_impl.h
@@ -80,6 +80,7 @@
   // job_workers.cc: workers.
   void TickWorkers();
   void UpdateUsable();
+  void TellUsable(const worker_id& worker);
   void Drive(tracked_job& job);
   void TakeReport(const worker_id& worker,
                   instant sent,
--- a/src/job/job_workers.cc
+++ b/src/job/job_workers.cc
@@ -52,15 +52,22 @@
 
 void job_core::impl::UpdateUsable() {
   for (const auto& [id, worker] : config_->objects.workers) {
-    const bool is_usable = health_.IsUsable(id, now_);
-    const auto [it, is_new] = told_usable_.try_emplace(id, is_usable);
-    if (!is_new && it->second == is_usable) {
-      continue;
-    }
-    it->second = is_usable;
-    planner_->SetUsable(id, is_usable);
-    is_plan_due_ = true;
+    TellUsable(id);
+  }
+}
+
+void job_core::impl::TellUsable(const worker_id& worker) {
+  if (!config_ || config_->objects.workers.count(worker) == 0) {
+    return;
+  }
+  const bool is_usable = health_.IsUsable(worker, now_);
+  const auto [it, is_new] = told_usable_.try_emplace(worker, is_usable);
+  if (!is_new && it->second == is_usable) {
+    return;
   }
+  it->second = is_usable;
+  planner_->SetUsable(worker, is_usable);
+  is_plan_due_ = true;
 }
 
 tracked_job* job_core::impl::FindTask(const worker_id& worker,
@@ -136,6 +143,8 @@
   switch (OnTaskReport(*job, index, sent, report)) {
     case report_effect::kFailed:
       health_.OnTaskFailed(worker, job->row.id, now_);
+      // The next plan must not draw on it.
+      TellUsable(worker);
       break;
     case report_effect::kEnded:
       health_.OnTaskSucceeded(worker);
--- a/src/job/tracked_job.cc
+++ b/src/job/tracked_job.cc
@@ -1,6 +1,7 @@
 #include "src/job/tracked_job.h"
 
 #include <algorithm>
+#include <set>
 #include <string_view>
 
 namespace sassafras::job {
@@ -10,8 +11,7 @@
 // the class allows no restart.
 constexpr int kLeastStarts = 3;
 
-// Failures on workers that went into quarantine are not the job's fault, but
-// their number is bounded too.
+// Failures that are not the job's fault are bounded in number too.
 constexpr int kMaxExcusedFailures = 5;
 
 void End(job_row& row, job_outcome outcome, std::string_view reason) {
@@ -35,13 +35,21 @@
   return row;
 }
 
-// Whether some worker of a failed attempt is still trusted, so that the
-// failure speaks against the job.
-bool IsChargeable(const failed_attempt& failure,
-                  const transition_limits& limits) {
-  return std::any_of(
-      failure.workers.begin(), failure.workers.end(),
-      [&](const worker_id& worker) { return !limits.is_quarantined(worker); });
+// Number of failed attempts that speak against the job: those that failed on
+// a trusted worker on which no attempt before had failed.
+int ChargedFailures(const job_row& row, const transition_limits& limits) {
+  std::set<worker_id> seen;
+  int charged = 0;
+  for (const failed_attempt& failure : row.failures) {
+    bool is_new = false;
+    for (const worker_id& worker : failure.workers) {
+      if (!limits.is_quarantined(worker)) {
+        is_new |= seen.insert(worker).second;
+      }
+    }
+    charged += is_new ? 1 : 0;
+  }
+  return charged;
 }
 
 void NoteFailures(const tracked_job& job, job_row& row) {
@@ -69,9 +77,7 @@
 }
 
 void FinishFailed(job_row& row, const transition_limits& limits) {
-  const auto charged = std::count_if(
-      row.failures.begin(), row.failures.end(),
-      [&](const failed_attempt& item) { return IsChargeable(item, limits); });
+  const int charged = ChargedFailures(row, limits);
   const int allowed = row.attempt_released
                           ? row.terms.max_restarts
                           : std::max(row.terms.max_restarts, kLeastStarts);
--- a/src/job/worker_health.cc
+++ b/src/job/worker_health.cc
@@ -4,6 +4,18 @@
 
 namespace sassafras {
 
+namespace {
+
+// `first`, doubled `times` times, at most `longest`.
+duration Doubled(duration first, int times, duration longest) {
+  for (int i = 0; i < times && first < longest; ++i) {
+    first *= 2;
+  }
+  return std::min(first, longest);
+}
+
+}  // namespace
+
 worker_health::worker_health(worker_health_options options,
                              counter_table& counters)
     : options_(options), counters_(counters) {}
@@ -60,6 +72,7 @@
   }
   standing& known = it->second;
   known.failed_jobs.insert(job);
+  ++known.failures;
   counters_.Add("worker_task_failed");
   const bool is_proven =
       static_cast<int>(known.failed_jobs.size()) >= options_.evidence_jobs;
@@ -67,8 +80,9 @@
     Quarantine(known, now);
     return;
   }
-  if (now >= known.held_until && MayHoldAnother(now)) {
-    known.held_until = now + options_.suspect_hold;
+  if (!known.is_quarantined && now >= known.held_until && MayHoldAnother(now)) {
+    known.held_until = now + Doubled(options_.suspect_hold, known.failures - 1,
+                                     options_.quarantine_time);
   }
 }
 
@@ -78,15 +92,12 @@
     counters_.Add("quarantine_refused_cap");
     return;
   }
-  duration time = options_.quarantine_time;
-  for (int i = 0; i < known.quarantines && time < options_.longest_quarantine;
-       ++i) {
-    time *= 2;
-  }
+  const duration time = Doubled(options_.quarantine_time, known.quarantines,
+                                options_.longest_quarantine);
   known.is_quarantined = true;
   known.is_on_trial = false;
   ++known.quarantines;
-  known.held_until = now + std::min(time, options_.longest_quarantine);
+  known.held_until = now + time;
   counters_.Add("worker_quarantined");
 }
 
@@ -107,6 +118,7 @@
     return;
   }
   it->second.failed_jobs.clear();
+  it->second.failures = 0;
   it->second.is_on_trial = false;
   it->second.quarantines = 0;
 }
@@ -149,6 +161,7 @@
   if (is_good) {
     known.is_on_trial = true;
     known.failed_jobs.clear();
+    known.failures = 0;
     known.held_until = {};
     counters_.Add("worker_returned_on_trial");
     return;
