--- a/models/gang.pml
+++ b/models/gang.pml
@@ -62,11 +62,7 @@
 #define AT_WORK(a) (task[FIRST(a)] == working || task[FIRST(a) + 1] == working)
 #define ANY_AT_WORK (AT_WORK(1) || AT_WORK(2))
 
-#ifdef NO_GUARD
-#define MATCHES(l, e) (row.version == e)
-#else
 #define MATCHES(l, e) (row.version == e && l == lease_version)
-#endif
 
 inline apply(guard_version, expected_v, new_row, outcome) {
   if
@@ -85,8 +81,11 @@
   fi
 }
 
-/* Commits a new state together with the guard row of this lease. */
+/* Commits a new state together with the guard row of this lease. Before a job
+ * waits again no task of it holds a worker, but for starts still under way. */
 inline commit(new_state, new_attempt, new_ran, new_final) {
+  assert(new_state != waiting ||
+         (LAPSED(FIRST(new_attempt)) && LAPSED(FIRST(new_attempt) + 1)));
   next.state = new_state; next.attempt = new_attempt;
   next.ran = new_ran; next.final = new_final;
 #ifdef FORGET_EARLIER_RUN
@@ -129,7 +128,12 @@
        do :: t < ALL - 1 -> t++ :: break od;
        a = t / TASKS + 1;
        if
-       :: start_sent[t] -> start_sent[t] = false;
+       :: start_sent[t] ->
+#ifdef START_REVIVES
+          if :: skip :: start_sent[t] = false fi; /* It may arrive again. */
+#else
+          start_sent[t] = false;
+#endif
           if
           :: task[t] == none -> task[t] = held; was_held[t] = true
 #ifdef START_REVIVES
--- a/tools/model_check.sh
+++ b/tools/model_check.sh
@@ -6,7 +6,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 word=${1:-}
-work=$PWD/build/models
+work=$PWD/build/models/run
 readonly kMaxDepth=200000
 readonly kSecondsPerRun=240
 passed=0
@@ -18,9 +18,9 @@
   local model=$1
   shift
   rm -rf "$work" && mkdir -p "$work"
-  (cd "$work" && spin -a "$@" "../../models/$model.pml" > spin.log &&
+  (cd "$work" && spin -a "$@" "../../../models/$model.pml" > spin.log &&
     gcc -O2 -w -DSAFETY -DCOLLAPSE -DVECTORSZ=2048 -o pan pan.c) || { errors=-1 states=0 whole=no; return; }
-  (cd "$work" && timeout "$kSecondsPerRun" ./pan -m$kMaxDepth > pan.log 2>&1) || true
+  (cd "$work" && timeout "$([ "$expected" = faulty ] && echo 60 || echo "$kSecondsPerRun")" ./pan -m$kMaxDepth > pan.log 2>&1) || true
   errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' "$work/pan.log")
   states=$(sed -n 's/^ *\([0-9.e+]*\) states, stored.*/\1/p' "$work/pan.log")
   fault=$(sed -n 's/^pan:[0-9]*: \(.*\)/\1/p' "$work/pan.log" | head -n 1)
@@ -64,11 +64,15 @@
 
 run holds gang -DTAKEOVERS=1 -DLOST=1
 run holds gang -DTAKEOVERS=2 -DLOST=0
-for guard in NO_GUARD RELEASE_BEFORE_RECORD RELEASE_ON_UNKNOWN RECORD_AFTER_ONE_HELD TAKEOVER_WITHOUT_STOP \
-  TAKEOVER_STOP_BEFORE_RECORD STOP_BEFORE_RECORD START_REVIVES ASSUME_STOPPED RERUN_NON_IDEMPOTENT FORGET_EARLIER_RUN \
-  NO_GUARD_NO_LEASE_CHECK; do
+for guard in RELEASE_BEFORE_RECORD RELEASE_ON_UNKNOWN RECORD_AFTER_ONE_HELD TAKEOVER_WITHOUT_STOP \
+  TAKEOVER_STOP_BEFORE_RECORD STOP_BEFORE_RECORD START_REVIVES ASSUME_STOPPED RERUN_NON_IDEMPOTENT FORGET_EARLIER_RUN; do
   run faulty gang -DTAKEOVERS=1 -DLOST=1 -D$guard
 done
 
+run holds placement
+for guard in NO_GUARD NO_LEASE_CHECK_NO_GUARD DECIDE_ON_OLD_ROWS; do
+  run faulty placement -D$guard
+done
+
 echo "$passed passed, $failed failed"
 [ "$failed" -eq 0 ]
