Test reclaim: checkpoints, forced grace, broken workers, a dying owner

With eight lent workers an urgent gang of four on its guarantee starts within 7 s of its submission, also when checkpoints hang until the grace of 3 s ends. The owner may die at any of 29 steps; no worker ever has two whole-worker tasks.

--- /dev/null
+++ b/tests/job_reclaim_test.cc
@@ -0,0 +1,120 @@
+#include <catch2/catch.hpp>
+
+#include "tests/job_world.h"
+
+namespace sassafras {
+namespace {
+
+// Eight workers, all lent to jobs that run for long.
+void LendAll(job_world& world, std::vector<job_id>& lent) {
+  for (auto& [id, worker] : world.workers) {
+    worker.work = 300s;
+  }
+  for (int i = 0; i < 8; ++i) {
+    lent.push_back(world.Submit("lent-" + std::to_string(i), "again", "one"));
+  }
+  REQUIRE(world.RunUntil(
+      [&] { return world.all[0].core->Count(job_state::kRunning) == 8; }, 10s));
+}
+
+}  // namespace
+
+TEST_CASE("A guarantee that is lent is reclaimed for its team") {
+  job_world world(MakeJobSite(8, true));
+  std::vector<job_id> lent;
+  LendAll(world, lent);
+  const instant asked = world.now;
+  const job_id urgent = world.Submit("u", "urgent", "four", "promised");
+  const auto works = [&] {
+    return world.Tasks(urgent, task_state::kRunning) == 4;
+  };
+
+  SECTION("within seven seconds, with a checkpoint of what gives way") {
+    REQUIRE(world.RunUntil(works, 20s));
+    CHECK(world.now - asked <= 7s);
+    int evicted = 0;
+    for (const job_id& job : lent) {
+      const job_row row = world.Row(job);
+      evicted += static_cast<int>(!row.checkpoints.empty());
+      CHECK(row.losses == 0);
+    }
+    CHECK(evicted == 4);
+  }
+  SECTION("within seven seconds if the checkpoints do not end") {
+    world.workers.at("w1").is_hanging = true;
+    world.workers.at("w2").is_hanging = true;
+    REQUIRE(world.RunUntil(works, 20s));
+    CHECK(world.now - asked <= 7s);
+  }
+  SECTION("also if workers of it break meanwhile") {
+    world.Run(1s);
+    world.workers.at("w3").is_dead = true;
+    REQUIRE(world.RunUntil(works, 120s));
+  }
+}
+
+TEST_CASE("The owner may die at every step of a reclaim") {
+  const int fatal = GENERATE(range(1, 30));
+  CAPTURE(fatal);
+  job_world world(MakeJobSite(8, true));
+  std::vector<job_id> lent;
+  LendAll(world, lent);
+  const job_id urgent = world.Submit("u", "urgent", "four", "promised");
+  int steps = 0;
+  world.on_action = [&](const job::job_action& action) {
+    const bool is_step = std::holds_alternative<job::commit_rows>(action) ||
+                         std::holds_alternative<job::start_task>(action) ||
+                         std::holds_alternative<job::throttle_task>(action) ||
+                         std::holds_alternative<job::checkpoint_task>(action) ||
+                         std::holds_alternative<job::stop_task>(action);
+    steps += static_cast<int>(is_step);
+    return !is_step || steps != fatal;
+  };
+  world.on_step = [&] {
+    // No worker is promised twice: each runs or holds one whole-worker task.
+    for (const auto& [id, worker] : world.workers) {
+      int live = 0;
+      for (const auto& [name, item] : worker.tasks) {
+        live += static_cast<int>(item.report.state == task_state::kHeld ||
+                                 item.report.state == task_state::kRunning);
+      }
+      REQUIRE(live <= 1);
+    }
+  };
+  for (int i = 0; i < 20; ++i) {
+    world.Run(4s);
+    if (world.all[0].is_dead && world.owner == 0) {
+      world.TakeOver(1);
+    }
+  }
+  CHECK(world.Begun(urgent) == 4);
+  CHECK((world.Is(urgent, job_state::kRunning) ||
+         world.Is(urgent, job_state::kEnded)));
+  for (const job_id& job : lent) {
+    CHECK_FALSE(world.Is(job, job_state::kEnded));
+  }
+}
+
+TEST_CASE("Once-only work that runs is never evicted") {
+  job_world world(MakeJobSite(8, true));
+  for (auto& [id, worker] : world.workers) {
+    worker.work = 60s;
+  }
+  std::vector<job_id> once;
+  for (int i = 0; i < 8; ++i) {
+    once.push_back(world.Submit(std::to_string(i), "once", "one"));
+  }
+  world.Run(10s);
+  const job_id urgent = world.Submit("u", "urgent", "four", "promised");
+  SECTION("and the guarantee is free for its team all the same") {
+    CHECK(world.RunUntil(
+        [&] { return world.Tasks(urgent, task_state::kRunning) == 4; }, 7s));
+  }
+  world.Run(200s);
+  for (const job_id& job : once) {
+    CHECK(world.Row(job).outcome == job_outcome::kSucceeded);
+    CHECK(world.Begun(job) == 1);
+  }
+}
+
+}  // namespace sassafras
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -99,6 +99,7 @@
   duration work = 20s;
   bool is_dead = false;
   bool loses_answers = false;  ///< Acts, but the answer is lost.
+  bool is_hanging = false;     ///< Its checkpoints never end.
   bool fails_start = false;
   bool fails_work = false;
 };
@@ -181,11 +182,12 @@
 
   job_id Submit(const std::string& key,
                 const std::string& class_name,
-                const std::string& shape) {
+                const std::string& shape,
+                const char* team = "team") {
     const std::string body = R"({"class":")" + class_name + R"(","shape":")" +
                              shape + R"(","run":"20s","payload":"{}"})";
     job::job_submission submission(
-        job::MakeJobRow(config->objects, team_id{"team"}, key, body, WallMs())
+        job::MakeJobRow(config->objects, team_id{team}, key, body, WallMs())
             .value());
     submission.OnCommit(store.Commit(submission.Transaction()));
     return submission.Row().id;
@@ -338,7 +340,9 @@
                                                  : job::task_call::kCheckpoint;
     fake_worker& worker = workers.at(change.worker.value);
     task_answer answer{answer_state::kUnknown, {}};
-    if (!worker.is_dead) {
+    const bool is_stuck =
+        worker.is_hanging && kCall == job::task_call::kCheckpoint;
+    if (!worker.is_dead && !is_stuck) {
       answer = {answer_state::kDone, worker.Change(action, change.task, now)};
     }
     Answer(index, worker, {kCall, change.worker, change.task, answer});
@@ -380,8 +384,9 @@
 
 /// A small site: `count` workers of 8 accelerators in one rack, the shapes
 /// "one" (a whole worker), "four" (four whole workers) and "small" (one
-/// accelerator), and the classes "again" and "once".
-inline config_ptr MakeJobSite(int count) {
+/// accelerator), the classes "again", "once" and "urgent", and the team "team"
+/// or also "promised", which is guaranteed one "four".
+inline config_ptr MakeJobSite(int count, bool has_promise = false) {
   auto config = std::make_shared<published_config>();
   config->version = 1;
   config_set& set = config->objects;
@@ -406,6 +411,14 @@
   again.checkpoint_grace = 3s;
   again.max_restarts = 2;
   set.classes[again.id] = again;
+  job_class urgent{class_id{"urgent"}, class_kind::kJob, urgency::kUrgent};
+  urgent.max_restarts = 2;
+  set.classes[urgent.id] = urgent;
+  if (has_promise) {
+    team promised{team_id{"promised"}};
+    promised.guarantees = {{shape_id{"four"}, 1}};
+    set.teams[promised.id] = promised;
+  }
   job_class once{class_id{"once"}, class_kind::kJob};
   once.idempotent = false;
   once.on_loss = loss_rule::kEnd;
