Add membership with local suspicion and rejoin by incarnation

Gateways and schedulers have to know which others live without a consensus group and within 2 KB/s per daemon, so that no process may beat to all.

- Each period (500 ms) one member is probed, directly and then through three others; a member that fails is suspected by its prober alone and probed in each further period, and dead after five in a row.
Ruled out: suspicion that is told to all (SWIM), as its refutation has to outrun every timer.
- Deaths, joins and the version of the configuration ride on the probes.
- A process that hears nobody condemns nobody; one that was paused itself draws no conclusion; one declared dead contradicts with a greater incarnation; a former self that meets its successor steps back.
- A link without direct answer twice is replaced.
- peer_codec holds the common envelope of peer messages; the node tells its program the live members through on_members.

--- /dev/null
+++ b/include/sassafras/cluster/membership_codec.h
@@ -0,0 +1,24 @@
+#ifndef SASSAFRAS_CLUSTER_MEMBERSHIP_CODEC_H_
+#define SASSAFRAS_CLUSTER_MEMBERSHIP_CODEC_H_
+
+#include <string>
+#include <string_view>
+
+#include "sassafras/cluster/membership.h"
+#include "sassafras/core/result.h"
+#include "sassafras/platform/peer_codec.h"
+
+namespace sassafras {
+
+/// Whether messages of `kind` are for membership.
+bool IsMemberMessage(std::string_view kind);
+
+std::string EncodeMemberMessage(std::string_view cluster,
+                                const member_message& message);
+
+/// Fails with kMalformed.
+result<member_message> DecodeMemberMessage(const peer_message& message);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_CLUSTER_MEMBERSHIP_CODEC_H_
--- a/include/sassafras/config/settings.h
+++ b/include/sassafras/config/settings.h
@@ -21,6 +21,7 @@
 struct process_settings {
   std::string cluster;  ///< Peers with another name are refused.
   process_id id;
+  std::string role;  ///< "gateway" or "scheduler": of the program, not read.
   place_id place;
   std::string listen;                 ///< "IP:port" for callers and operators.
   std::string peer_listen;            ///< "IP:port" for peers.
--- /dev/null
+++ b/include/sassafras/platform/peer_codec.h
@@ -0,0 +1,36 @@
+#ifndef SASSAFRAS_PLATFORM_PEER_CODEC_H_
+#define SASSAFRAS_PLATFORM_PEER_CODEC_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+#include "sassafras/core/result.h"
+
+namespace sassafras {
+
+/// Format of peer messages that this program writes.
+inline constexpr std::uint64_t kPeerMessageVersion = 1;
+
+/// One message between processes: a MessagePack map with "cluster", "kind" and
+/// "version" beside the fields of its kind. Fields that a receiver does not
+/// know are ignored.
+struct peer_message {
+  std::string cluster;
+  std::string kind;
+  std::uint64_t version = kPeerMessageVersion;
+  nlohmann::json body;  ///< The whole map.
+};
+
+/// Encodes the fields of `body` (a map) as a message of `kind`.
+std::string EncodePeerMessage(std::string_view cluster,
+                              std::string_view kind,
+                              nlohmann::json body);
+
+/// Fails with kMalformed.
+result<peer_message> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PLATFORM_PEER_CODEC_H_
--- a/programs/shell/command_line.cc
+++ b/programs/shell/command_line.cc
@@ -33,6 +33,11 @@
   return {std::move(parsed.settings), 0};
 }
 
+// "gateway" of "sassafras-gateway".
+std::string RoleOf(const std::string& program) {
+  return program.substr(program.find('-') + 1);
+}
+
 }  // namespace
 
 std::optional<std::string> ReadFile(const std::string& path) {
@@ -74,8 +79,12 @@
     std::cerr << program << ": --config FILE is needed\n" << options;
     return {std::nullopt, kUsageError};
   }
-  return CheckSettings(values["config"].as<std::string>(),
-                       values.count("check-config") > 0);
+  start_decision start = CheckSettings(values["config"].as<std::string>(),
+                                       values.count("check-config") > 0);
+  if (start.settings) {
+    start.settings->role = RoleOf(program);
+  }
+  return start;
 }
 
 }  // namespace sassafras
--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -6,8 +6,10 @@
 #include <csignal>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <random>
 #include <thread>
 
+#include "sassafras/cluster/membership_codec.h"
 #include "sassafras/config/config_parse.h"
 #include "sassafras/core/digest.h"
 #include "sassafras/telemetry/log.h"
@@ -19,6 +21,8 @@
 
 constexpr duration kWorkerCallTimeout = std::chrono::seconds(1);
 constexpr duration kConnectionCheckInterval = std::chrono::milliseconds(20);
+constexpr duration kMemberTick = std::chrono::milliseconds(100);
+constexpr duration kVmListInterval = std::chrono::seconds(5);
 
 http_client_options ClientOptions(const process_settings& settings) {
   http_client_options options;
@@ -26,6 +30,27 @@
   return options;
 }
 
+member SelfOf(const process_settings& settings) {
+  member self;
+  self.id = settings.id;
+  self.role = settings.role;
+  self.address = settings.peer_listen;
+  self.place = settings.place;
+  self.start = static_cast<std::uint64_t>(
+      std::chrono::duration_cast<duration>(
+          std::chrono::system_clock::now().time_since_epoch())
+          .count());
+  return self;
+}
+
+std::vector<member> SeedsOf(const process_settings& settings) {
+  std::vector<member> seeds;
+  for (const peer_settings& peer : settings.peers) {
+    seeds.push_back({peer.id, "", peer.address, peer.place});
+  }
+  return seeds;
+}
+
 void RepeatTimer(const std::shared_ptr<asio::steady_timer>& timer,
                  duration interval,
                  std::function<void()> action) {
@@ -54,7 +79,10 @@
       client_(http_client::Make(context_, ClientOptions(settings_), counters_)),
       minion_client_(
           http_client::Make(context_, ClientOptions(settings_), counters_)),
-      follower_(counters_) {
+      follower_(counters_),
+      random_(std::random_device()()),
+      members_({}, SelfOf(settings_), SeedsOf(settings_), counters_),
+      members_strand_(asio::make_strand(context_)) {
   const platform_options platform{settings_.platform};
   table_ = MakeHttpTablePort(client_, platform);
   objects_ = MakeHttpObjectPort(client_, platform);
@@ -72,29 +100,36 @@
 int node::Run(hooks program) {
   program_ = std::move(program);
   StartLog(settings_.id.value);
-  auto links = nng_peers::Make(
-      settings_.peer_listen, counters_, [this](std::string message) {
-        const auto document =
-            nlohmann::json::from_msgpack(message, true, false);
-        if (!document.is_object() || !document.contains("cluster") ||
-            !document.contains("kind") || !document["kind"].is_string()) {
-          counters_.Add("peer_message_malformed");
-          return;
-        }
-        if (document["cluster"] != settings_.cluster) {
-          counters_.AddError(error_kind::kWrongCluster);
-          return;
-        }
-        if (program_.on_peer) {
-          asio::post(
-              context_,
-              [this, kind = document["kind"].get<std::string>(),
-               body = std::move(message)] { program_.on_peer(kind, body); });
-        }
-      });
+  if (!Listen()) {
+    return 1;
+  }
+  StartMembership();
+  PollConfig();
+  Every(settings_.config_poll, [this] { PollConfig(); });
+  WaitForSignals();
+  LogEvent("process_started", {{"listen", settings_.listen}});
+
+  std::vector<std::thread> pool;
+  for (int i = 1; i < settings_.threads; ++i) {
+    pool.emplace_back([this] { context_.run(); });
+  }
+  context_.run();
+  for (std::thread& thread : pool) {
+    thread.join();
+  }
+  links_->Close();
+  LogEvent("process_stopped",
+           {{"cut", std::to_string(counters_.Get("stop_cut_requests"))}});
+  return 0;
+}
+
+bool node::Listen() {
+  auto links =
+      nng_peers::Make(settings_.peer_listen, counters_,
+                      [this](const std::string& bytes) { OnPeerBytes(bytes); });
   if (!links) {
     std::cerr << links.error().detail << '\n';
-    return 1;
+    return false;
   }
   links_ = links.value();
   peers_ = links_->Port();
@@ -107,27 +142,123 @@
       [this](http_exchange exchange) { HandleHttp(std::move(exchange)); });
   if (!server) {
     std::cerr << server.error().detail << '\n';
-    return 1;
+    return false;
   }
   server_ = server.value();
+  return true;
+}
 
-  PollConfig();
-  Every(settings_.config_poll, [this] { PollConfig(); });
-  WaitForSignals();
-  LogEvent("process_started", {{"listen", settings_.listen}});
+void node::OnPeerBytes(const std::string& bytes) {
+  auto message = DecodePeerMessage(bytes);
+  if (!message) {
+    counters_.Add("peer_message_malformed");
+    return;
+  }
+  if (message.value().cluster != settings_.cluster) {
+    counters_.AddError(error_kind::kWrongCluster);
+    return;
+  }
+  const std::string& kind = message.value().kind;
+  if (IsMemberMessage(kind)) {
+    const auto decoded = DecodeMemberMessage(message.value());
+    if (!decoded) {
+      counters_.Add("peer_message_malformed");
+      return;
+    }
+    AskMembers([&](membership& members, random_engine& random) {
+      return members.OnMessage(Now(), decoded.value(), random);
+    });
+    return;
+  }
+  if (program_.on_peer) {
+    asio::post(context_,
+               [this, kind, bytes] { program_.on_peer(kind, bytes); });
+  }
+}
 
-  std::vector<std::thread> pool;
-  for (int i = 1; i < settings_.threads; ++i) {
-    pool.emplace_back([this] { context_.run(); });
+void node::StartMembership() {
+  Every(kMemberTick, [this] {
+    AskMembers([](membership& members, random_engine& random) {
+      return members.OnTick(Now(), random);
+    });
+  });
+  Every(kVmListInterval, [this] { PollVmList(); });
+  TellMembers();
+}
+
+// Carries out what the members decide, without the lock.
+void node::AskMembers(
+    const std::function<member_actions(membership&, random_engine&)>& ask) {
+  member_actions actions;
+  {
+    const std::lock_guard lock(members_mutex_);
+    actions = ask(members_, random_);
   }
-  context_.run();
-  for (std::thread& thread : pool) {
-    thread.join();
+  for (const std::string& address : actions.resets) {
+    links_->Reset(address);
+  }
+  for (const auto& send : actions.sends) {
+    const std::string bytes =
+        EncodeMemberMessage(settings_.cluster, send.message);
+    counters_.Add("peer_bytes_membership", bytes.size());
+    peers_.send(send.address, bytes);
+  }
+  if (actions.is_replaced) {
+    LogEvent("process_replaced", {{"id", settings_.id.value}});
+  }
+  if (actions.has_changed) {
+    asio::post(members_strand_, [this] { TellMembers(); });
   }
-  links_->Close();
-  LogEvent("process_stopped",
-           {{"cut", std::to_string(counters_.Get("stop_cut_requests"))}});
-  return 0;
+}
+
+// Runs on the strand once the process has started, so that the last list told
+// is the newest.
+void node::TellMembers() {
+  const std::vector<member> members = Members();
+  if (members == told_members_) {
+    return;
+  }
+  told_members_ = members;
+  metrics_.Set("members", static_cast<double>(members.size()));
+  if (program_.on_members) {
+    program_.on_members(members);
+  }
+}
+
+std::vector<member> node::Members() const {
+  const std::lock_guard lock(members_mutex_);
+  return members_.Members();
+}
+
+void node::PollVmList() {
+  vm_list_.list([this](const vm_list_answer& answer) {
+    if (answer.state == answer_state::kDone) {
+      OnVmList(answer);
+    } else {
+      counters_.Add("vm_list_failed");
+    }
+  });
+}
+
+// The list lags: a process that it does not name or shows as leaving is only
+// probed sooner.
+void node::OnVmList(const vm_list_answer& answer) {
+  std::map<std::string, bool> listed;
+  for (const vm_entry& entry : answer.entries) {
+    listed[entry.name] = entry.leaving;
+  }
+  const bool names_processes = listed.contains(settings_.id.value);
+  std::vector<process_id> doubtful;
+  for (const member& info : Members()) {
+    const auto it = listed.find(info.id.value);
+    if (it == listed.end() ? names_processes : it->second) {
+      doubtful.push_back(info.id);
+    }
+  }
+  AskMembers([&](membership& members, random_engine& /*random*/) {
+    members.OnPlatformHint(doubtful);
+    return member_actions{};
+  });
 }
 
 void node::Every(duration interval, std::function<void()> action) {
@@ -202,13 +333,22 @@
 
 http_response node::Status() const {
   const config_ptr config = Config();
+  nlohmann::json members = nlohmann::json::array();
+  for (const member& info : Members()) {
+    members.push_back({{"id", info.id.value},
+                       {"role", info.role},
+                       {"place", info.place.value},
+                       {"incarnation", info.incarnation},
+                       {"state", GetName(info.state)}});
+  }
   http_response response;
   response.body =
       nlohmann::json{{"process", settings_.id.value},
                      {"place", settings_.place.value},
                      {"version", SASSAFRAS_VERSION},
                      {"config_version", config ? config->version : 0},
-                     {"stopping", stopping_.load()}}
+                     {"stopping", stopping_.load()},
+                     {"members", std::move(members)}}
           .dump();
   return response;
 }
@@ -263,6 +403,10 @@
     context_.stop();
   });
   program_.on_stop([this] {
+    // Until here others leave it the slots that its requests use.
+    AskMembers([](membership& members, random_engine& random) {
+      return members.Leave(random);
+    });
     server_->Drain();
     // Answers that are being written end before the process does.
     Every(kConnectionCheckInterval, [this] {
--- a/programs/shell/node.h
+++ b/programs/shell/node.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/strand.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -11,6 +12,7 @@
 #include <vector>
 
 #include "sassafras/cluster/config_follower.h"
+#include "sassafras/cluster/membership.h"
 #include "sassafras/config/settings.h"
 #include "sassafras/core/counter_table.h"
 #include "sassafras/platform/http_adapters.h"
@@ -27,8 +29,8 @@
 /// io_context, the ports to the outside, the configuration in force, and the
 /// HTTP pages /healthz, /readyz, /metrics and /v1/status.
 ///
-/// Lock order: the program's own tables, then the node's configuration lock,
-/// then counters and metrics. No port is called with a lock held.
+/// Lock order: the program's own tables, then the node's configuration or
+/// members lock, then counters and metrics. No port is called with a lock held.
 class node {
  public:
   /// Hooks of the program. All are called from threads of the pool.
@@ -41,6 +43,9 @@
     /// kind and its whole body (MessagePack of a map).
     std::function<void(const std::string& kind, const std::string& body)>
         on_peer;
+    /// Called with all members that live, this process included, after the
+    /// list changed. Optional.
+    std::function<void(const std::vector<member>&)> on_members;
     /// Called once when the process was asked to stop. The program calls
     /// `drained` when no work is left.
     std::function<void(std::function<void()> drained)> on_stop;
@@ -64,6 +69,9 @@
   /// The configuration in force, empty before the first.
   config_ptr Config() const;
 
+  /// Processes that live, this one included.
+  std::vector<member> Members() const;
+
   /// Whether a graceful stop has begun.
   bool IsStopping() const { return stopping_.load(); }
 
@@ -81,6 +89,14 @@
  private:
   void PollConfig();
   void FetchConfig(const config_row& row);
+  bool Listen();
+  void StartMembership();
+  void OnPeerBytes(const std::string& bytes);
+  void AskMembers(
+      const std::function<member_actions(membership&, random_engine&)>& ask);
+  void TellMembers();
+  void PollVmList();
+  void OnVmList(const vm_list_answer& answer);
   void HandleHttp(http_exchange exchange);
   http_response Status() const;
   void WaitForSignals();
@@ -104,6 +120,11 @@
   std::atomic<bool> stopping_{false};
   mutable std::mutex config_mutex_;
   config_follower follower_;
+  mutable std::mutex members_mutex_;
+  random_engine random_;
+  membership members_;
+  boost::asio::strand<boost::asio::io_context::executor_type> members_strand_;
+  std::vector<member> told_members_;  // Used on members_strand_ only.
 };
 
 }  // namespace sassafras
--- /dev/null
+++ b/src/cluster/membership.cc
@@ -0,0 +1,591 @@
+#include "sassafras/cluster/membership.h"
+
+#include <algorithm>
+#include <array>
+#include <bit>
+#include <iterator>
+#include <utility>
+
+namespace sassafras {
+namespace {
+
+constexpr int kRumorsPerMessage = 6;
+constexpr int kRumorSendsPerDoubling = 3;
+constexpr int kSilentProbesBeforeReset = 2;
+constexpr int kPeriodsHeard = 3;
+constexpr std::uint64_t kPeriodsPerAbsentProbe = 10;
+constexpr std::size_t kJoinProbes = 3;
+constexpr std::size_t kLeaveMessages = 5;
+constexpr int kAcksUntilJoined = 2;
+constexpr int kDigestDifferencesBeforeSync = 10;
+
+constexpr std::array<std::string_view, 4> kStateNames = {"alive", "suspect",
+                                                         "dead", "left"};
+constexpr std::array<std::string_view, 3> kKindNames = {
+    "member_ping", "member_ack", "member_ping_request"};
+
+std::uint64_t HashOf(const member& info) {
+  // FNV-1a: the same in every build, unlike std::hash.
+  constexpr std::uint64_t kOffset = 0xcbf29ce484222325ULL;
+  constexpr std::uint64_t kPrime = 0x100000001b3ULL;
+  std::uint64_t hash = kOffset;
+  for (const char c : info.id.value) {
+    hash = (hash ^ static_cast<std::uint8_t>(c)) * kPrime;
+  }
+  hash = (hash ^ info.start) * kPrime;
+  return (hash ^ info.incarnation) * kPrime;
+}
+
+// Suspicion is a view of this process alone.
+member ToldToOthers(member info) {
+  if (info.IsLive()) {
+    info.state = member_state::kAlive;
+  }
+  return info;
+}
+
+}  // namespace
+
+std::string_view GetName(member_state state) {
+  return kStateNames[static_cast<std::size_t>(state)];
+}
+
+std::string_view GetName(member_message_kind kind) {
+  return kKindNames[static_cast<std::size_t>(kind)];
+}
+
+membership::membership(membership_options options,
+                       member self,
+                       std::vector<member> seeds,
+                       counter_table& counters)
+    : options_(options), self_(std::move(self)), counters_(counters) {
+  self_.incarnation = std::max<std::uint64_t>(self_.incarnation, 1);
+  for (member& seed : seeds) {
+    if (seed.id != self_.id) {
+      peer& entry = peers_[seed.id];
+      entry.info = std::move(seed);
+      entry.is_seed = true;
+    }
+  }
+  Spread(self_.id);
+}
+
+member_actions membership::OnTick(instant now, random_engine& random) {
+  member_actions actions;
+  if (is_replaced_ || has_left_) {
+    return actions;
+  }
+  NotePause(now);
+  AskOthers(now, random, actions);
+  if (!next_period_ || now >= *next_period_) {
+    FinishProbes(now, actions);
+    StartProbes(now, random, actions);
+    ProbeAbsent(random, actions);
+    Forget(now);
+    next_period_ = now + options_.period;
+    ++period_number_;
+  }
+  return actions;
+}
+
+member_actions membership::OnMessage(instant now,
+                                     const member_message& message,
+                                     random_engine& /*random*/) {
+  member_actions actions;
+  if (is_replaced_ || has_left_ || message.sender == self_.id) {
+    return actions;
+  }
+  Hear(now, message, actions);
+  if (is_replaced_) {
+    actions.is_replaced = true;
+    return actions;
+  }
+  switch (message.kind) {
+    case member_message_kind::kPing:
+      Answer(message, actions);
+      break;
+    case member_message_kind::kAck:
+      OnAck(message, actions);
+      break;
+    case member_message_kind::kPingRequest:
+      OnPingRequest(now, message, actions);
+      break;
+  }
+  return actions;
+}
+
+void membership::OnPlatformHint(const std::vector<process_id>& doubtful) {
+  for (const process_id& id : doubtful) {
+    const auto it = peers_.find(id);
+    if (it != peers_.end() && it->second.is_known && it->second.info.IsLive() &&
+        std::find(doubtful_.begin(), doubtful_.end(), id) == doubtful_.end()) {
+      doubtful_.push_back(id);
+    }
+  }
+}
+
+member_actions membership::Leave(random_engine& random) {
+  member_actions actions;
+  self_.state = member_state::kLeft;
+  ++self_.incarnation;
+  Spread(self_.id);
+  for (peer* receiver : ChooseLive(kLeaveMessages, {}, random)) {
+    Send(receiver->info.address,
+         NewMessage(member_message_kind::kPing, ++last_sequence_), actions);
+  }
+  has_left_ = true;
+  return actions;
+}
+
+std::vector<member> membership::Members() const {
+  std::vector<member> members;
+  if (!is_replaced_ && !has_left_) {
+    members.push_back(self_);
+  }
+  for (const auto& [id, entry] : peers_) {
+    if (entry.is_known && entry.info.IsLive()) {
+      members.push_back(entry.info);
+    }
+  }
+  std::sort(members.begin(), members.end(),
+            [](const member& a, const member& b) { return a.id < b.id; });
+  return members;
+}
+
+// A process that was paused itself may not conclude anything from silence.
+void membership::NotePause(instant now) {
+  if (last_tick_ && now - *last_tick_ > options_.period) {
+    counters_.Add("member_pause_noticed");
+    probes_.clear();
+    relays_.clear();
+  }
+  last_tick_ = now;
+}
+
+void membership::FinishProbes(instant now, member_actions& actions) {
+  for (const probe& open : std::exchange(probes_, {})) {
+    const auto it = peers_.find(open.target);
+    if (it != peers_.end() && it->second.info.IsLive()) {
+      Fail(it->second, now, actions);
+    }
+  }
+  std::erase_if(relays_,
+                [&](const relay& entry) { return entry.expires <= now; });
+}
+
+void membership::AskOthers(instant now,
+                           random_engine& random,
+                           member_actions& actions) {
+  for (probe& open : probes_) {
+    if (open.is_indirect || now - open.sent < options_.ack_timeout) {
+      continue;
+    }
+    open.is_indirect = true;
+    peer& target = peers_.at(open.target);
+    if (++target.direct_failed >= kSilentProbesBeforeReset) {
+      actions.resets.push_back(target.info.address);
+      counters_.Add("member_link_replaced");
+    }
+    const auto count = static_cast<std::size_t>(options_.indirect_probes);
+    for (const peer* helper : ChooseLive(count, open.target, random)) {
+      member_message request =
+          NewMessage(member_message_kind::kPingRequest, open.sequence);
+      request.subject = target.info;
+      counters_.Add("member_ping_requests");
+      Send(helper->info.address, std::move(request), actions);
+    }
+  }
+}
+
+void membership::StartProbes(instant now,
+                             random_engine& random,
+                             member_actions& actions) {
+  for (auto& [id, entry] : peers_) {
+    if (entry.is_known && entry.info.state == member_state::kSuspect) {
+      Probe(entry, now, actions);
+    }
+  }
+  if (const auto next = NextTarget(random)) {
+    Probe(peers_.at(*next), now, actions);
+  }
+}
+
+void membership::Probe(peer& target, instant now, member_actions& actions) {
+  const bool is_open = std::any_of(
+      probes_.begin(), probes_.end(),
+      [&](const probe& open) { return open.target == target.info.id; });
+  if (is_open) {
+    return;
+  }
+  probes_.push_back({target.info.id, ++last_sequence_, now, false});
+  member_message ping = NewMessage(member_message_kind::kPing, last_sequence_);
+  if (!target.knows_us) {
+    ping.updates.push_back(self_);
+  }
+  if (digest_differences_ >= kDigestDifferencesBeforeSync) {
+    digest_differences_ = 0;
+    ping.wants_all = true;
+    counters_.Add("member_syncs");
+  }
+  Send(target.info.address, std::move(ping), actions);
+}
+
+// Finds processes that are not known to live: all at the start, and now and
+// then later, so that parts of the system that lost each other meet again.
+void membership::ProbeAbsent(random_engine& random, member_actions& actions) {
+  const bool has_joined = acks_ > 0;
+  if (has_joined && period_number_ % kPeriodsPerAbsentProbe != 0) {
+    return;
+  }
+  std::vector<peer*> absent;
+  for (auto& [id, entry] : peers_) {
+    if (!(entry.is_known && entry.info.IsLive())) {
+      absent.push_back(&entry);
+    }
+  }
+  std::shuffle(absent.begin(), absent.end(), random);
+  absent.resize(std::min(absent.size(), has_joined ? 1 : kJoinProbes));
+  for (peer* entry : absent) {
+    // Sent to a link that may have gone silent long ago.
+    if (entry->direct_failed++ % kSilentProbesBeforeReset != 0) {
+      actions.resets.push_back(entry->info.address);
+    }
+    member_message ping =
+        NewMessage(member_message_kind::kPing, ++last_sequence_);
+    ping.updates.push_back(self_);
+    if (entry->is_known) {
+      ping.updates.push_back(entry->info);
+    }
+    ping.wants_all = true;
+    Send(entry->info.address, std::move(ping), actions);
+  }
+}
+
+void membership::Fail(peer& target, instant now, member_actions& actions) {
+  if (target.info.state == member_state::kAlive) {
+    target.info.state = member_state::kSuspect;
+    counters_.Add("member_suspected");
+    actions.has_changed = true;
+  }
+  if (target.failed + 1 >= options_.failed_periods &&
+      !HearsOthers(target.info.id, now)) {
+    counters_.Add("member_isolated");
+    return;
+  }
+  if (++target.failed >= options_.failed_periods) {
+    target.info.state = member_state::kDead;
+    target.died = now;
+    counters_.Add("member_died");
+    actions.has_changed = true;
+    Spread(target.info.id);
+  }
+}
+
+// Whether silence may be put down to `except` rather than to this process's
+// own network.
+bool membership::HearsOthers(const process_id& except, instant now) const {
+  bool has_others = false;
+  for (const auto& [id, entry] : peers_) {
+    if (id == except || !entry.is_known || !entry.info.IsLive()) {
+      continue;
+    }
+    has_others = true;
+    if (entry.last_heard &&
+        now - *entry.last_heard <= options_.period * kPeriodsHeard) {
+      return true;
+    }
+  }
+  return !has_others;
+}
+
+void membership::Forget(instant now) {
+  for (auto it = peers_.begin(); it != peers_.end();) {
+    peer& entry = it->second;
+    const bool is_over = entry.is_known && !entry.info.IsLive() &&
+                         now - entry.died >= options_.forget_after;
+    if (is_over) {
+      entry.is_known = false;
+    }
+    it = is_over && !entry.is_seed ? peers_.erase(it) : std::next(it);
+  }
+}
+
+std::optional<process_id> membership::NextTarget(random_engine& random) {
+  const auto is_target = [&](const process_id& id) {
+    const auto it = peers_.find(id);
+    return it != peers_.end() && it->second.is_known &&
+           it->second.info.state == member_state::kAlive;
+  };
+  while (!doubtful_.empty()) {
+    const process_id id = doubtful_.front();
+    doubtful_.erase(doubtful_.begin());
+    if (is_target(id)) {
+      return id;
+    }
+  }
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!round_.empty()) {
+      const process_id id = std::move(round_.back());
+      round_.pop_back();
+      if (is_target(id)) {
+        return id;
+      }
+    }
+    for (const auto& [id, entry] : peers_) {
+      if (is_target(id)) {
+        round_.push_back(id);
+      }
+    }
+    std::shuffle(round_.begin(), round_.end(), random);
+  }
+  return std::nullopt;
+}
+
+std::vector<membership::peer*> membership::ChooseLive(std::size_t count,
+                                                      const process_id& except,
+                                                      random_engine& random) {
+  std::vector<peer*> chosen;
+  for (auto& [id, entry] : peers_) {
+    if (id != except && entry.is_known &&
+        entry.info.state == member_state::kAlive) {
+      chosen.push_back(&entry);
+    }
+  }
+  std::shuffle(chosen.begin(), chosen.end(), random);
+  chosen.resize(std::min(chosen.size(), count));
+  return chosen;
+}
+
+member_message membership::NewMessage(member_message_kind kind,
+                                      std::uint64_t sequence) {
+  member_message message;
+  message.kind = kind;
+  message.sequence = sequence;
+  return message;
+}
+
+void membership::Send(const std::string& address,
+                      member_message message,
+                      member_actions& actions) {
+  message.sender = self_.id;
+  message.start = self_.start;
+  message.incarnation = self_.incarnation;
+  message.config_version = config_version_;
+  message.digest = Digest();
+  AddRumors(message);
+  counters_.Add("member_messages_sent");
+  actions.sends.push_back({address, std::move(message)});
+}
+
+void membership::AddRumors(member_message& message) {
+  const std::size_t count =
+      std::min<std::size_t>(rumors_.size(), kRumorsPerMessage);
+  for (std::size_t i = 0; i < count; ++i) {
+    rumor next = rumors_.front();
+    rumors_.pop_front();
+    const auto it = peers_.find(next.id);
+    if (next.id == self_.id) {
+      message.updates.push_back(self_);
+    } else if (it != peers_.end() && it->second.is_known) {
+      message.updates.push_back(ToldToOthers(it->second.info));
+    } else {
+      continue;
+    }
+    if (--next.sends_left > 0) {
+      rumors_.push_back(std::move(next));
+    }
+  }
+}
+
+void membership::Spread(const process_id& id) {
+  const auto doublings = std::bit_width(peers_.size() + 1);
+  const int sends = kRumorSendsPerDoubling * static_cast<int>(doublings);
+  std::erase_if(rumors_, [&](const rumor& old) { return old.id == id; });
+  rumors_.push_front({id, sends});
+}
+
+void membership::Answer(const member_message& message,
+                        member_actions& actions) {
+  const auto it = peers_.find(message.sender);
+  if (it == peers_.end()) {
+    counters_.Add("member_unknown_sender");
+    return;
+  }
+  const member& sender = it->second.info;
+  member_message ack = NewMessage(member_message_kind::kAck, message.sequence);
+  if (message.wants_all) {
+    ack.updates.push_back(self_);
+    for (const auto& [id, entry] : peers_) {
+      if (entry.is_known) {
+        ack.updates.push_back(ToldToOthers(entry.info));
+      }
+    }
+  } else if (!sender.IsLive() || sender.start != message.start ||
+             sender.incarnation > message.incarnation) {
+    // What the sender has to contradict.
+    ack.updates.push_back(ToldToOthers(sender));
+  }
+  Send(sender.address, std::move(ack), actions);
+}
+
+void membership::OnAck(const member_message& message, member_actions& actions) {
+  ++acks_;
+  const auto asked =
+      std::find_if(relays_.begin(), relays_.end(), [&](const relay& entry) {
+        return entry.sequence == message.sequence &&
+               entry.target == message.sender;
+      });
+  if (asked != relays_.end()) {
+    member_message ack = NewMessage(member_message_kind::kAck, asked->asked);
+    ack.subject.id = message.sender;
+    ack.subject.start = message.start;
+    Send(asked->asker, std::move(ack), actions);
+    relays_.erase(asked);
+    return;
+  }
+  const bool is_relayed = !message.subject.id.value.empty();
+  const process_id& answered = is_relayed ? message.subject.id : message.sender;
+  std::erase_if(probes_, [&](const probe& open) {
+    return open.target == answered && open.sequence == message.sequence;
+  });
+  const auto it = peers_.find(answered);
+  if (it == peers_.end()) {
+    return;
+  }
+  if (!is_relayed) {
+    it->second.knows_us = true;
+    it->second.direct_failed = 0;
+    return;
+  }
+  if (message.subject.start == it->second.info.start) {
+    // It lives but the direct link does not: tried again next period.
+    counters_.Add("member_answered_indirectly");
+    MarkAlive(it->second, actions);
+    doubtful_.push_back(answered);
+  }
+}
+
+void membership::OnPingRequest(instant now,
+                               const member_message& message,
+                               member_actions& actions) {
+  const auto asker = peers_.find(message.sender);
+  if (asker == peers_.end() || message.subject.id == self_.id) {
+    return;
+  }
+  relays_.push_back({++last_sequence_, message.sequence,
+                     asker->second.info.address, message.subject.id,
+                     now + options_.period});
+  member_message ping = NewMessage(member_message_kind::kPing, last_sequence_);
+  const auto target = peers_.find(message.subject.id);
+  if (target == peers_.end() || !target->second.knows_us) {
+    ping.updates.push_back(self_);
+  }
+  Send(message.subject.address, std::move(ping), actions);
+}
+
+void membership::Hear(instant now,
+                      const member_message& message,
+                      member_actions& actions) {
+  for (const member& update : message.updates) {
+    Merge(now, update, actions);
+  }
+  const auto it = peers_.find(message.sender);
+  if (it != peers_.end() && it->second.info.start == message.start) {
+    peer& sender = it->second;
+    if (message.incarnation > sender.info.incarnation) {
+      member update = ToldToOthers(sender.info);
+      update.incarnation = message.incarnation;
+      update.state = member_state::kAlive;
+      Merge(now, update, actions);
+    }
+    sender.last_heard = now;
+    MarkAlive(sender, actions);
+  }
+  digest_differences_ =
+      message.digest == Digest() ? 0 : digest_differences_ + 1;
+  if (it != peers_.end() && message.config_version != 0) {
+    actions.versions.push_back(
+        {it->second.info.address, message.config_version});
+  }
+}
+
+// Silence is over; death is contradicted by a greater incarnation only.
+void membership::MarkAlive(peer& subject, member_actions& actions) {
+  if (!subject.info.IsLive()) {
+    return;
+  }
+  subject.failed = 0;
+  if (subject.info.state == member_state::kSuspect) {
+    subject.info.state = member_state::kAlive;
+    counters_.Add("member_suspicion_ended");
+    actions.has_changed = true;
+  }
+}
+
+void membership::Merge(instant now,
+                       const member& update,
+                       member_actions& actions) {
+  if (update.id == self_.id) {
+    MergeSelf(update, actions);
+    return;
+  }
+  const auto it = peers_.find(update.id);
+  const bool is_known = it != peers_.end() && it->second.is_known;
+  if (!is_known && !update.IsLive()) {
+    return;
+  }
+  if (is_known) {
+    const member& old = it->second.info;
+    const bool is_newer =
+        update.incarnation > old.incarnation ||
+        (update.incarnation == old.incarnation &&
+         (update.start > old.start ||
+          (update.start == old.start && !update.IsLive() && old.IsLive())));
+    if (!is_newer) {
+      return;
+    }
+  }
+  peer& entry = peers_[update.id];
+  if (entry.info.start != update.start) {
+    entry.knows_us = false;
+    entry.direct_failed = 0;
+    counters_.Add("member_joined");
+  }
+  entry.info = update;
+  entry.is_known = true;
+  entry.failed = 0;
+  entry.died = now;
+  actions.has_changed = true;
+  Spread(update.id);
+}
+
+void membership::MergeSelf(const member& update, member_actions& actions) {
+  const bool is_same_start = update.start == self_.start;
+  if (update.incarnation < self_.incarnation ||
+      (is_same_start && update.IsLive())) {
+    return;
+  }
+  const bool has_joined = acks_ >= kAcksUntilJoined;
+  if (!is_same_start && has_joined && update.start > self_.start) {
+    counters_.Add("member_replaced");
+    is_replaced_ = true;
+    return;
+  }
+  self_.incarnation = update.incarnation + 1;
+  counters_.Add("member_contradicted");
+  actions.has_changed = true;
+  Spread(self_.id);
+}
+
+// Of the live members, so that all who agree on them have the same.
+std::uint64_t membership::Digest() const {
+  std::uint64_t digest = HashOf(self_);
+  for (const auto& [id, entry] : peers_) {
+    if (entry.is_known && entry.info.IsLive()) {
+      digest += HashOf(entry.info);
+    }
+  }
+  return digest;
+}
+
+}  // namespace sassafras
