--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -33,7 +33,7 @@
 member SelfOf(const process_settings& settings) {
   member self;
   self.id = settings.id;
-  self.role = settings.role;
+  self.role = std::string(GetName(settings.role));
   self.address = settings.peer_listen;
   self.place = settings.place;
   self.start = static_cast<std::uint64_t>(
@@ -46,7 +46,8 @@
 std::vector<member> SeedsOf(const process_settings& settings) {
   std::vector<member> seeds;
   for (const peer_settings& peer : settings.peers) {
-    seeds.push_back({peer.id, "", peer.address, peer.place});
+    seeds.push_back(
+        {peer.id, std::string(GetName(peer.role)), peer.address, peer.place});
   }
   return seeds;
 }
