Hold the slot of an abandoned send and let loans last until recalled

Change: abandoned sends run on and hold their slot; the owner's own request for slots recalls what it lent, its silence ends the loan, otherwise it goes on; counts of loans are kept instead of counted.

--- a/bench/request_policies.cc
+++ b/bench/request_policies.cc
@@ -100,11 +100,6 @@
     sim_.At(action.timeout,
             [self, send] { self->EndSend(send, answer_state::kUnknown, 0); });
   }
-  void Do(cancel_send& action) {
-    sim_.At(duration(0), [self = shared_from_this(), send = action.send] {
-      self->EndSend(send, answer_state::kUnknown, 0);
-    });
-  }
   void Do(commit_rows& action) {
     commit_answer answer{answer_state::kNotDone, error_kind::kConflict, {}};
     for (const table_write& write : action.transaction) {
--- a/include/sassafras/request/minion_pool.h
+++ b/include/sassafras/request/minion_pool.h
@@ -19,7 +19,6 @@
 enum class send_verdict : std::uint8_t {
   kGood,     ///< A whole answer that is no failure.
   kBad,      ///< A failure, a lost answer, or no connection.
-  kSlow,     ///< Another send of the same request was faster by far.
   kNeutral,  ///< It tells nothing, e.g. the caller left.
 };
 
@@ -64,6 +63,10 @@
               instant now,
               random_engine& random);
 
+  /// A send to `minion` failed, or another of the same request was faster by
+  /// far.
+  void NoteBad(const minion_id& minion, instant now, random_engine& random);
+
   /// Slots that this gateway may use in all, in work or not.
   int Slots(instant now) const;
 
--- a/include/sassafras/request/request_events.h
+++ b/include/sassafras/request/request_events.h
@@ -183,11 +183,6 @@
   int max_connections = 0;  ///< To the minion, of this process.
 };
 
-/// Abandon a send; send_ended still follows.
-struct cancel_send {
-  send_id send = 0;
-};
-
 /// Close idle connections to `address` beyond `keep`.
 struct trim_connections {
   std::string address;
@@ -237,7 +232,6 @@
                                     reply_answer,
                                     reply_stored,
                                     send_request,
-                                    cancel_send,
                                     trim_connections,
                                     commit_rows,
                                     read_rows,
--- a/include/sassafras/request/slot_loans.h
+++ b/include/sassafras/request/slot_loans.h
@@ -1,9 +1,9 @@
 #ifndef SASSAFRAS_REQUEST_SLOT_LOANS_H_
 #define SASSAFRAS_REQUEST_SLOT_LOANS_H_
 
+#include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <vector>
 
 #include "sassafras/core/counter_table.h"
@@ -36,34 +36,29 @@
   /// Forgets loans to and from processes that are gone.
   void SetMembers(const std::vector<gateway_member>& members);
 
-  /// Takes in a message. Returns the slots that its sender asks for.
-  int OnMessage(const slot_message& message, instant now);
+  /// Takes in a message. Returns the slots that its sender asks for. An owner
+  /// that asks for slots itself wants those back that it lent; one that does
+  /// not lets them go on while this process `is_wanting`.
+  int OnMessage(const slot_message& message, bool is_wanting, instant now);
 
   /// Lends `slots` to `borrower`; the answer carries them.
   void Lend(const gateway_member& borrower,
             const std::vector<minion_id>& slots);
 
-  /// Gives back borrowed slots of `minion` that are past their time, but keeps
-  /// `in_use` of them.
-  void GiveBack(const minion_id& minion, int in_use, instant now);
+  /// Gives back borrowed slots that are past their time, but keeps as many of
+  /// a minion's as `in_use` tells.
+  void GiveBack(const std::function<int(const minion_id&)>& in_use,
+                instant now);
 
   /// Appends the messages that are due. `wanted` slots are asked for.
   void Pump(int wanted, instant now, request_actions& actions);
 
   /// Slots of `minion` that are lent out.
-  int Lent(const minion_id& minion) const;
+  int Lent(const minion_id& minion) const { return CountsOf(minion).lent; }
 
-  /// Slots of `minion` that are borrowed.
-  int Borrowed(const minion_id& minion) const;
-
-  /// Slots of `minion` that are borrowed and may take new work.
-  int Usable(const minion_id& minion, instant now) const;
-
-  int TotalBorrowed() const { return static_cast<int>(borrowed_.size()); }
-  int TotalLent() const;
-
-  /// Minions of which slots are borrowed.
-  std::set<minion_id> BorrowedMinions() const;
+  /// Slots of `minion` that are borrowed and, by the last GiveBack(), may take
+  /// new work.
+  int Usable(const minion_id& minion) const { return CountsOf(minion).usable; }
 
   /// When Pump() is due; empty if nothing is lent, borrowed or `wanted`.
   std::optional<instant> NextWake(int wanted) const;
@@ -78,6 +73,15 @@
     bool owes_answer = false;
   };
 
+  struct slot_counts {
+    int lent = 0;
+    int usable = 0;
+  };
+
+  slot_counts CountsOf(const minion_id& minion) const;
+  void Prolong(const process_id& owner, instant use_until);
+  void CountUsable(instant now);
+  void EndLoan(const minion_id& minion);
   void SendTo(peer& to, int wanted, request_actions& actions);
   bool HasBusiness(const peer& item) const;
 
@@ -86,8 +90,10 @@
   counter_table& counters_;
   std::map<process_id, peer> peers_;
   std::map<std::pair<process_id, std::uint64_t>, borrowed_slot> borrowed_;
-  std::map<minion_id, int> lent_count_;
-  std::map<minion_id, int> borrowed_count_;
+  std::map<minion_id, slot_counts> counts_;
+  int total_lent_ = 0;
+  int expired_ = 0;  ///< Borrowed slots that take no new work.
+  instant next_expiry_ = instant::max();
   instant next_ask_;
   instant next_report_;
   duration ask_interval_{0};
--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -182,26 +182,11 @@
   message.connection = action.connection;
   message.timeout = action.timeout;
   return [this, action = std::move(action), message = std::move(message)] {
-    cancel_function cancel =
-        node_.Minions().send(action.address, message,
-                             [this, request = action.request,
-                              send = action.send](minion_answer answer) {
-                               OnSendEnded(request, send, std::move(answer));
-                             });
-    bool is_cancelled = false;
-    {
-      const std::lock_guard lock(mutex_);
-      is_cancelled = early_cancels_.erase(action.send) > 0;
-      const auto it = cancels_.find(action.send);
-      if (it == cancels_.end()) {
-        cancels_[action.send] = cancel;
-      } else {
-        cancels_.erase(it);  // It has ended already.
-      }
-    }
-    if (is_cancelled) {
-      cancel();
-    }
+    node_.Minions().send(action.address, message,
+                         [this, request = action.request,
+                          send = action.send](minion_answer answer) {
+                           OnSendEnded(request, send, std::move(answer));
+                         });
   };
 }
 
@@ -211,30 +196,12 @@
   send_ended event{send, answer.state, answer.status, answer.refused_leaving};
   {
     const std::lock_guard lock(mutex_);
-    const auto cancel = cancels_.find(send);
-    if (cancel == cancels_.end()) {
-      cancels_[send] = nullptr;  // It ended before send() returned.
-    } else {
-      cancels_.erase(cancel);
-    }
-    early_cancels_.erase(send);
     const auto open = open_.find(request);
     if (open != open_.end() && answer.state == answer_state::kDone) {
       open->second.answers[send] = std::move(answer);
     }
   }
   Give(event);
-  const std::lock_guard lock(mutex_);
-  early_cancels_.erase(send);  // Of a cancel that was decided meanwhile.
-}
-
-request_service::task request_service::Plan(const cancel_send& action) {
-  const auto it = cancels_.find(action.send);
-  if (it == cancels_.end()) {
-    early_cancels_.insert(action.send);
-    return nullptr;
-  }
-  return it->second;
 }
 
 request_service::task request_service::Plan(const trim_connections& action) {
--- a/programs/gateway/request_service.h
+++ b/programs/gateway/request_service.h
@@ -5,7 +5,6 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -51,7 +50,6 @@
   task Plan(const reply_answer& action);
   task Plan(const reply_stored& action);
   task Plan(send_request action);
-  task Plan(const cancel_send& action);
   task Plan(const trim_connections& action);
   task Plan(commit_rows action);
   task Plan(read_rows action);
@@ -74,8 +72,6 @@
   request_core core_;
   request_id next_request_ = 1;
   std::map<request_id, open_request> open_;
-  std::map<send_id, cancel_function> cancels_;
-  std::set<send_id> early_cancels_;  ///< Cancelled before the send began.
   instant armed_at_ = instant::max();
   std::function<void()> on_stopped_;
 };
--- a/src/request/minion_pool.cc
+++ b/src/request/minion_pool.cc
@@ -118,7 +118,7 @@
   if (members_ == 0 || !MayTakeWork(item, now) || now < item.ejected_until) {
     return 0;
   }
-  int limit = OwnSlots(item, now) + loans_.Usable(item.definition.id, now);
+  int limit = OwnSlots(item, now) + loans_.Usable(item.definition.id);
   limit = std::min(limit, item.max_connections);
   if (IsProbation(item, now)) {
     limit = std::min(limit, 1);
@@ -185,18 +185,29 @@
       item.ejections = 0;
       counters_.Add("minion_returned");
     }
-  } else if (verdict != send_verdict::kNeutral) {
-    ++item.bad_in_row;
-    item.suspect_until = now + kSuspectTime;
-    if (item.bad_in_row >= kBadToEject || IsProbation(item, now)) {
-      Eject(item, now, random);
-    }
+  } else if (verdict == send_verdict::kBad) {
+    NoteBad(minion, now, random);
   }
   if (!item.is_configured && item.in_work == 0) {
     minions_.erase(it);
   }
 }
 
+void minion_pool::NoteBad(const minion_id& minion,
+                          instant now,
+                          random_engine& random) {
+  const auto it = minions_.find(minion);
+  if (it == minions_.end()) {
+    return;
+  }
+  minion_state& item = it->second;
+  ++item.bad_in_row;
+  item.suspect_until = now + kSuspectTime;
+  if (item.bad_in_row >= kBadToEject || IsProbation(item, now)) {
+    Eject(item, now, random);
+  }
+}
+
 int minion_pool::Ejected(instant now) const {
   return static_cast<int>(std::count_if(
       minions_.begin(), minions_.end(),
@@ -258,14 +269,14 @@
 }
 
 void minion_pool::GiveBack(instant now) {
-  for (const minion_id& minion : loans_.BorrowedMinions()) {
-    const auto it = minions_.find(minion);
-    const int in_use =
-        it == minions_.end()
-            ? 0
-            : std::max(0, it->second.in_work - OwnSlots(it->second, now));
-    loans_.GiveBack(minion, in_use, now);
-  }
+  loans_.GiveBack(
+      [&](const minion_id& minion) {
+        const auto it = minions_.find(minion);
+        return it == minions_.end()
+                   ? 0
+                   : it->second.in_work - OwnSlots(it->second, now);
+      },
+      now);
 }
 
 const std::string& minion_pool::Address(const minion_id& minion) const {
--- a/src/request/request_core.cc
+++ b/src/request/request_core.cc
@@ -231,7 +231,8 @@
     return;
   }
   target_state& owner = *it->second;
-  const int wanted = owner.loans.OnMessage(event.message, now_);
+  const int wanted =
+      owner.loans.OnMessage(event.message, owner.queue.Size() > 0, now_);
   if (wanted <= 0 || owner.queue.Size() > 0) {
     return;
   }
--- a/src/request/request_core_impl.h
+++ b/src/request/request_core_impl.h
@@ -41,7 +41,7 @@
   minion_id minion;
   class_id class_name;
   instant started;
-  std::optional<send_verdict> abandoned;  ///< Set if nobody waits for it.
+  bool is_abandoned = false;  ///< Nobody waits for it.
 };
 
 /// One request that is not yet ended.
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -142,8 +142,7 @@
   entry.tried.insert(minion);
   const send_id id = next_send_++;
   entry.sends.insert(id);
-  sends_[id] = {entry.id,         entry.target, minion,
-                entry.class_name, now_,         std::nullopt};
+  sends_[id] = {entry.id, entry.target, minion, entry.class_name, now_, false};
 
   send_request send;
   send.send = id;
@@ -228,8 +227,8 @@
   if (event.refused_leaving) {
     owner.pool.NoteRefusal(ended.minion, now_);
   }
-  if (ended.abandoned) {
-    ReleaseSlot(ended, *ended.abandoned);
+  if (ended.is_abandoned) {
+    ReleaseSlot(ended, send_verdict::kNeutral);
     return;
   }
   ReleaseSlot(ended, Judge(event));
@@ -297,13 +296,15 @@
   SetWake(entry, std::min(entry.deadline, now_ + duration(wait(*random_))));
 }
 
-// Takes the request off its sends. Their slots and connections are free when
-// they have ended.
+// Takes the request off its sends. They are not broken off, since a minion may
+// go on working unseen: their slots are free when they have ended.
 void request_core::impl::AbandonSends(request_entry& entry, bool is_slow) {
   for (const send_id id : entry.sends) {
-    sends_.at(id).abandoned =
-        is_slow ? send_verdict::kSlow : send_verdict::kNeutral;
-    actions_.emplace_back(cancel_send{id});
+    live_send& send = sends_.at(id);
+    send.is_abandoned = true;
+    if (is_slow) {
+      targets_.at(send.target)->pool.NoteBad(send.minion, now_, *random_);
+    }
   }
   entry.sends.clear();
 }
--- a/src/request/slot_loans.cc
+++ b/src/request/slot_loans.cc
@@ -20,18 +20,6 @@
   return loan / kMaxSlotsPerMessage;
 }
 
-void Decrement(std::map<minion_id, int>& counts, const minion_id& minion) {
-  const auto it = counts.find(minion);
-  if (it != counts.end() && --it->second == 0) {
-    counts.erase(it);
-  }
-}
-
-int CountOf(const std::map<minion_id, int>& counts, const minion_id& minion) {
-  const auto it = counts.find(minion);
-  return it == counts.end() ? 0 : it->second;
-}
-
 }  // namespace
 
 void slot_loans::SetMembers(const std::vector<gateway_member>& members) {
@@ -44,7 +32,7 @@
       continue;
     }
     for (const auto& [loan, minion] : it->second.lent) {
-      Decrement(lent_count_, minion);
+      EndLoan(minion);
       counters_.Add("slot_loan_of_lost_gateway");
     }
     it = peers_.erase(it);
@@ -54,8 +42,8 @@
       ++it;
       continue;
     }
-    Decrement(borrowed_count_, it->second.minion);
     it = borrowed_.erase(it);
+    next_expiry_ = instant::min();
   }
   for (const gateway_member& member : members) {
     if (member.id != self_.id) {
@@ -64,7 +52,30 @@
   }
 }
 
-int slot_loans::OnMessage(const slot_message& message, instant now) {
+slot_loans::slot_counts slot_loans::CountsOf(const minion_id& minion) const {
+  if (counts_.empty()) {
+    return {};
+  }
+  const auto it = counts_.find(minion);
+  return it == counts_.end() ? slot_counts() : it->second;
+}
+
+void slot_loans::EndLoan(const minion_id& minion) {
+  --counts_[minion].lent;
+  --total_lent_;
+}
+
+void slot_loans::Prolong(const process_id& owner, instant use_until) {
+  for (auto it = borrowed_.lower_bound({owner, 0});
+       it != borrowed_.end() && it->first.first == owner; ++it) {
+    it->second.use_until = use_until;
+    next_expiry_ = instant::min();
+  }
+}
+
+int slot_loans::OnMessage(const slot_message& message,
+                          bool is_wanting,
+                          instant now) {
   const auto it = peers_.find(message.from.id);
   if (it == peers_.end() || it->second.member != message.from ||
       message.to_incarnation != self_.incarnation) {
@@ -83,14 +94,19 @@
       ++loan;
       continue;
     }
-    Decrement(lent_count_, loan->second);
+    EndLoan(loan->second);
     loan = sender.lent.erase(loan);
   }
+  if (message.wanted > 0) {
+    Prolong(message.from.id, now);
+  } else if (is_wanting) {
+    Prolong(message.from.id, now + kLoanTime);
+  }
   for (std::size_t i = 0; i < message.lent.size(); ++i) {
     const std::uint64_t id = LoanId(message.number, i);
     borrowed_[{message.from.id, id}] = {message.from, id, message.lent[i],
                                         now + kLoanTime};
-    ++borrowed_count_[message.lent[i]];
+    next_expiry_ = instant::min();
     counters_.Add("slot_borrowed");
   }
   if (!message.lent.empty()) {
@@ -111,27 +127,54 @@
   for (const minion_id& minion : slots) {
     if (it->second.offer.size() < kMaxSlotsPerMessage) {
       it->second.offer.push_back(minion);
-      ++lent_count_[minion];
+      ++counts_[minion].lent;
+      ++total_lent_;
       counters_.Add("slot_lent");
     }
   }
 }
 
-void slot_loans::GiveBack(const minion_id& minion, int in_use, instant now) {
-  int kept = 0;
+void slot_loans::CountUsable(instant now) {
+  for (auto& [minion, counts] : counts_) {
+    counts.usable = 0;
+  }
+  expired_ = 0;
+  next_expiry_ = instant::max();
+  for (const auto& [key, slot] : borrowed_) {
+    if (slot.use_until <= now) {
+      ++expired_;
+      continue;
+    }
+    ++counts_[slot.minion].usable;
+    next_expiry_ = std::min(next_expiry_, slot.use_until);
+  }
+}
+
+void slot_loans::GiveBack(const std::function<int(const minion_id&)>& in_use,
+                          instant now) {
+  if (now >= next_expiry_) {
+    CountUsable(now);
+  }
+  if (expired_ == 0) {
+    return;
+  }
+  // Slots that still take new work cover work in progress first.
+  std::map<minion_id, int> kept;
   for (auto it = borrowed_.begin(); it != borrowed_.end();) {
-    if (it->second.minion != minion || it->second.use_until > now) {
-      kept += it->second.minion == minion ? 1 : 0;
+    const borrowed_slot& slot = it->second;
+    if (slot.use_until > now) {
       ++it;
       continue;
     }
-    if (kept < in_use) {
-      ++kept;
+    int& count =
+        kept.try_emplace(slot.minion, Usable(slot.minion)).first->second;
+    if (count < in_use(slot.minion)) {
+      ++count;
       ++it;
       continue;
     }
-    peers_[it->second.owner.id].owes_answer = true;
-    Decrement(borrowed_count_, minion);
+    peers_[slot.owner.id].owes_answer = true;
+    --expired_;
     it = borrowed_.erase(it);
   }
 }
@@ -183,40 +226,6 @@
   }
 }
 
-int slot_loans::Lent(const minion_id& minion) const {
-  return CountOf(lent_count_, minion);
-}
-
-int slot_loans::Borrowed(const minion_id& minion) const {
-  return CountOf(borrowed_count_, minion);
-}
-
-int slot_loans::Usable(const minion_id& minion, instant now) const {
-  if (Borrowed(minion) == 0) {
-    return 0;
-  }
-  return static_cast<int>(
-      std::count_if(borrowed_.begin(), borrowed_.end(), [&](const auto& slot) {
-        return slot.second.minion == minion && slot.second.use_until > now;
-      }));
-}
-
-int slot_loans::TotalLent() const {
-  int total = 0;
-  for (const auto& [minion, count] : lent_count_) {
-    total += count;
-  }
-  return total;
-}
-
-std::set<minion_id> slot_loans::BorrowedMinions() const {
-  std::set<minion_id> minions;
-  for (const auto& [minion, count] : borrowed_count_) {
-    minions.insert(minion);
-  }
-  return minions;
-}
-
 std::optional<instant> slot_loans::NextWake(int wanted) const {
   if (peers_.empty()) {
     return std::nullopt;
@@ -225,7 +234,7 @@
   if (wanted > 0) {
     wake = next_ask_;
   }
-  const bool has_business = !borrowed_.empty() || !lent_count_.empty();
+  const bool has_business = !borrowed_.empty() || total_lent_ > 0;
   if (has_business && (!wake || next_report_ < *wake)) {
     wake = next_report_;
   }
--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -246,7 +246,6 @@
     told.at = now;
   }
   void Do(const owner_ptr& owner, send_request& action);
-  void Do(const owner_ptr& owner, cancel_send& action);
   void Do(const owner_ptr& owner, commit_rows& action);
   void Do(const owner_ptr& owner, read_rows& action);
   void Do(const owner_ptr& owner, store_answer& action);
@@ -313,14 +312,6 @@
   At(std::min(work, action.timeout), [=] { end(event, true); });
 }
 
-inline void request_world::Do(const owner_ptr& owner, cancel_send& action) {
-  At(duration(0), [this, owner, id = action.send] {
-    if (open_sends_.erase({owner.get(), id}) > 0) {
-      Give(owner, send_ended{id, answer_state::kUnknown, 0, false});
-    }
-  });
-}
-
 inline void request_world::Do(const owner_ptr& owner, commit_rows& action) {
   if (IsKilledBefore(*owner, action)) {
     return;
