Keep headroom for urgent work only where it is a small part of the slots

Cause: one of 44 slots of each gateway was kept free for urgent requests, 2.3% of all slots, while a slot falls free every 11 ms anyway; and a gateway with free headroom did not ask others for slots.

Change: one slot of 64 is kept free (none below that), and slots are asked for when no more than the headroom is free. Requests are refused before a slot when their time left is less than the mean service time and its deviation.

--- a/src/request/request_core.cc
+++ b/src/request/request_core.cc
@@ -11,7 +11,7 @@
 constexpr duration kHeartbeat = std::chrono::seconds(1);
 constexpr std::size_t kMaxLostMembers = 1000;
 constexpr int kMaxWanted = 32;
-constexpr int kLendingReserve = 8;  // One of so many slots is never lent.
+constexpr int kLendingReserve = 32;  // One of so many slots is never lent.
 
 void Earliest(std::optional<instant>& first, std::optional<instant> candidate) {
   if (candidate && (!first || *candidate < *first)) {
@@ -84,7 +84,8 @@
   for (auto& [id, owner] : targets_) {
     owner->pool.GiveBack(now_);
     Dispatch(*owner);
-    owner->loans.Pump(Wanted(*owner), now_, actions_);
+    owner->wanted = Wanted(*owner);
+    owner->loans.Pump(owner->wanted, now_, actions_);
     for (std::string& address : owner->pool.TakeClosing()) {
       actions_.emplace_back(trim_connections{std::move(address), 0});
     }
@@ -104,15 +105,18 @@
     Earliest(next_wake_, writer_.RetryAt());
   }
   for (const auto& [id, owner] : targets_) {
-    Earliest(next_wake_, owner->loans.NextWake(Wanted(*owner)));
+    Earliest(next_wake_, owner->loans.NextWake(owner->wanted));
     Earliest(next_wake_, owner->pool.NextWake(now_));
   }
 }
 
 int request_core::impl::Wanted(const target_state& owner) const {
   const int waiting = owner.queue.Size();
-  if (waiting == 0 || is_suspended_ || members_.size() < 2 ||
-      owner.pool.FreeSlots(now_) > 0) {
+  if (waiting == 0 || is_suspended_ || members_.size() < 2) {
+    return 0;
+  }
+  const int free = owner.pool.FreeSlots(now_);
+  if (free > Headroom(owner, free + owner.pool.TotalInWork())) {
     return 0;
   }
   return std::min(waiting, kMaxWanted);
--- a/src/request/request_core_impl.h
+++ b/src/request/request_core_impl.h
@@ -96,6 +96,7 @@
   service_time service;  ///< Over all classes.
   bool is_leaving = false;
   bool has_urgent = false;
+  int wanted = 0;  ///< Slots to ask of other gateways.
 };
 
 class request_core::impl {
@@ -149,6 +150,7 @@
                const job_class& definition,
                int free,
                int slots) const;
+  static int Headroom(const target_state& owner, int slots);
   void Send(request_entry& entry, const minion_id& minion);
   void Hedge(request_entry& entry);
   duration HedgeDelay(const request_entry& entry);
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -11,8 +11,7 @@
 constexpr int kMaxTries = 4;
 constexpr int kFirstFailureStatus = 400;
 constexpr int kFirstServerStatus = 500;
-constexpr int kHeadroomShare = 32;        // One of so many slots is kept free
-constexpr int kMinSlotsForHeadroom = 20;  // for urgent work, from here on.
+constexpr int kHeadroomShare = 64;  // One of so many slots.
 constexpr int kHedgeDeviations = 6;
 constexpr duration kHedgeMin = std::chrono::milliseconds(20);
 constexpr duration kBackoffBase = std::chrono::milliseconds(10);
@@ -72,11 +71,12 @@
   if (!definition.idempotent && !may_claim) {
     return false;
   }
-  if (definition.order == urgency::kUrgent || !owner.has_urgent ||
-      slots < kMinSlotsForHeadroom) {
-    return true;
-  }
-  return free > std::max(1, slots / kHeadroomShare);
+  return definition.order == urgency::kUrgent || free > Headroom(owner, slots);
+}
+
+// Slots that only urgent requests may take.
+int request_core::impl::Headroom(const target_state& owner, int slots) {
+  return owner.has_urgent ? slots / kHeadroomShare : 0;
 }
 
 // Gives one free slot to the request that is next. Returns whether there may
@@ -86,7 +86,7 @@
   if (free <= 0) {
     return false;
   }
-  const int slots = owner.pool.Slots(now_);
+  const int slots = free + owner.pool.TotalInWork();
   const auto next = owner.queue.Pop(slots, [&](const job_class& definition) {
     return MayTake(owner, definition, free, slots);
   });
@@ -95,7 +95,8 @@
   }
   request_entry& entry = entries_.at(*next);
   const service_time& service = services_[entry.class_name];
-  if (service.IsKnown() && now_ + service.Mean() / 2 > entry.deadline) {
+  if (service.IsKnown() &&
+      now_ + service.Mean() + service.Deviation() > entry.deadline) {
     owner.queue.Finish(entry.class_name);
     GiveUp(entry, {error_kind::kDeadlineUnreachable, {}});
     return true;
--- a/src/request/slot_loans.cc
+++ b/src/request/slot_loans.cc
@@ -61,8 +61,11 @@
 }
 
 void slot_loans::EndLoan(const minion_id& minion) {
-  --counts_[minion].lent;
+  const auto it = counts_.find(minion);
   --total_lent_;
+  if (--it->second.lent == 0 && it->second.usable == 0) {
+    counts_.erase(it);
+  }
 }
 
 void slot_loans::Prolong(const process_id& owner, instant use_until) {
@@ -135,8 +138,9 @@
 }
 
 void slot_loans::CountUsable(instant now) {
-  for (auto& [minion, counts] : counts_) {
-    counts.usable = 0;
+  for (auto it = counts_.begin(); it != counts_.end();) {
+    it->second.usable = 0;
+    it = it->second.lent == 0 ? counts_.erase(it) : std::next(it);
   }
   expired_ = 0;
   next_expiry_ = instant::max();
