--- a/bench/request_sim.cc
+++ b/bench/request_sim.cc
@@ -216,7 +216,9 @@
     ++figures_.duplicates;
   }
   if (item.is_silent) {
-    At(request.timeout, [this, minion] { --in_work_[minion]; });
+    // Its caller closes the connection at the request's deadline.
+    At(std::max(duration(0), request.sent + request.timeout - now_),
+       [this, minion] { --in_work_[minion]; });
     return;
   }
   if (item.is_failing) {
--- a/include/sassafras/request/minion_pool.h
+++ b/include/sassafras/request/minion_pool.h
@@ -63,6 +63,13 @@
               instant now,
               random_engine& random);
 
+  /// A send to `minion` ended without an answer. The minion may go on working:
+  /// the slot is free at `at`.
+  void FinishLater(const minion_id& minion,
+                   instant at,
+                   instant now,
+                   random_engine& random);
+
   /// A send to `minion` failed, or another of the same request was faster by
   /// far.
   void NoteBad(const minion_id& minion, instant now, random_engine& random);
@@ -79,8 +86,9 @@
   /// Up to `count` free slots of its own to lend, at most one per minion.
   std::vector<minion_id> FreeOwnSlots(int count, instant now) const;
 
-  /// Gives borrowed slots back that are past their time.
-  void GiveBack(instant now);
+  /// Frees slots whose time has come, and gives borrowed ones back that are
+  /// past theirs.
+  void Advance(instant now, random_engine& random);
 
   const std::string& Address(const minion_id& minion) const;
   int InWork(const minion_id& minion) const;
@@ -125,6 +133,7 @@
   slot_loans& loans_;
   counter_table& counters_;
   std::map<minion_id, minion_state> minions_;
+  std::multimap<instant, minion_id> lingering_;  ///< Slots freed later.
   std::vector<std::string> closing_;
   int total_in_work_ = 0;
   int member_ = 0;
--- a/src/request/minion_pool.cc
+++ b/src/request/minion_pool.cc
@@ -268,7 +268,20 @@
   return slots;
 }
 
-void minion_pool::GiveBack(instant now) {
+void minion_pool::FinishLater(const minion_id& minion,
+                              instant at,
+                              instant now,
+                              random_engine& random) {
+  NoteBad(minion, now, random);
+  lingering_.emplace(at, minion);
+}
+
+void minion_pool::Advance(instant now, random_engine& random) {
+  while (!lingering_.empty() && lingering_.begin()->first <= now) {
+    const minion_id minion = lingering_.begin()->second;
+    lingering_.erase(lingering_.begin());
+    Finish(minion, send_verdict::kNeutral, now, random);
+  }
   loans_.GiveBack(
       [&](const minion_id& minion) {
         const auto it = minions_.find(minion);
@@ -305,6 +318,9 @@
 
 std::optional<instant> minion_pool::NextWake(instant now) const {
   std::optional<instant> first;
+  if (!lingering_.empty()) {
+    first = lingering_.begin()->first;
+  }
   for (const auto& [id, item] : minions_) {
     Earliest(first, item.gain_from, now);
     Earliest(first, item.ejected_until, now);
--- a/src/request/request_core.cc
+++ b/src/request/request_core.cc
@@ -82,7 +82,7 @@
     OnWake(entry);
   }
   for (auto& [id, owner] : targets_) {
-    owner->pool.GiveBack(now_);
+    owner->pool.Advance(now_, *random_);
     Dispatch(*owner);
     owner->wanted = Wanted(*owner);
     owner->loans.Pump(owner->wanted, now_, actions_);
--- a/src/request/request_core_impl.h
+++ b/src/request/request_core_impl.h
@@ -156,6 +156,7 @@
   duration HedgeDelay(const request_entry& entry);
   std::optional<minion_id> ChooseMinion(const request_entry& entry);
   void ReleaseSlot(const live_send& send, send_verdict verdict);
+  void ReleaseLater(const live_send& send);
   void ReleaseReserved(request_entry& entry);
   void OnIdempotentEnded(request_entry& entry, const send_ended& event);
   void OnClaimedEnded(request_entry& entry, const send_ended& event);
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -207,6 +207,14 @@
   owner.pool.Finish(send.minion, verdict, now_, *random_);
 }
 
+// Without an answer the minion may still be at work.
+void request_core::impl::ReleaseLater(const live_send& send) {
+  target_state& owner = *targets_.at(send.target);
+  owner.queue.Finish(send.class_name);
+  const instant free_at = now_ + 2 * services_[send.class_name].Mean();
+  owner.pool.FinishLater(send.minion, free_at, now_, *random_);
+}
+
 void request_core::impl::ReleaseReserved(request_entry& entry) {
   if (entry.reserved) {
     target_state& owner = TargetOf(entry);
@@ -228,11 +236,15 @@
   if (event.refused_leaving) {
     owner.pool.NoteRefusal(ended.minion, now_);
   }
+  if (event.state == answer_state::kUnknown) {
+    ReleaseLater(ended);
+  } else {
+    ReleaseSlot(ended,
+                ended.is_abandoned ? send_verdict::kNeutral : Judge(event));
+  }
   if (ended.is_abandoned) {
-    ReleaseSlot(ended, send_verdict::kNeutral);
     return;
   }
-  ReleaseSlot(ended, Judge(event));
   request_entry* entry = &entries_.at(ended.request);
   entry->sends.erase(event.send);
   if (IsSuccess(event)) {
