Free the slot of an unanswered send after a long service time

Cause: work of up to four mean times went on beyond its request's deadline. Change: the slot is free after mean and six deviations, as for a hedge.

--- a/include/sassafras/request/service_time.h
+++ b/include/sassafras/request/service_time.h
@@ -30,9 +30,13 @@
   duration Mean() const { return mean_; }
   duration Deviation() const { return deviation_; }
 
+  /// A time that few answers exceed.
+  duration Long() const { return mean_ + kLongDeviations * deviation_; }
+
  private:
   static constexpr int kMeanWeight = 16;
   static constexpr int kDeviationWeight = 16;
+  static constexpr int kLongDeviations = 6;
   static constexpr int kEnough = 20;
 
   duration mean_{0};
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -12,7 +12,6 @@
 constexpr int kFirstFailureStatus = 400;
 constexpr int kFirstServerStatus = 500;
 constexpr int kHeadroomShare = 64;  // One of so many slots.
-constexpr int kHedgeDeviations = 6;
 constexpr duration kHedgeMin = std::chrono::milliseconds(20);
 constexpr duration kBackoffBase = std::chrono::milliseconds(10);
 constexpr duration kBackoffMax = std::chrono::seconds(1);
@@ -172,8 +171,7 @@
   if (!entry.is_idempotent || !service.IsKnown()) {
     return entry.deadline - now_;
   }
-  return std::max(kHedgeMin,
-                  service.Mean() + kHedgeDeviations * service.Deviation());
+  return std::max(kHedgeMin, service.Long());
 }
 
 // An answer that is late by far may never come: a second send of idempotent
@@ -211,7 +209,7 @@
 void request_core::impl::ReleaseLater(const live_send& send) {
   target_state& owner = *targets_.at(send.target);
   owner.queue.Finish(send.class_name);
-  const instant free_at = now_ + 2 * services_[send.class_name].Mean();
+  const instant free_at = now_ + services_[send.class_name].Long();
   owner.pool.FinishLater(send.minion, free_at, now_, *random_);
 }
 
