Let only a conflict end a claim write as not done; use the roles of settings

Change: a read proves only a row of ours, otherwise the same condition is written again; a conflict's rows are current and end it. A submission whose mark of a dead holder meets a conflict goes on by the row as it is now. Peers are gateways by their role, no longer by their name.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -6,6 +6,7 @@
 
 #include "bench/bench_options.h"
 #include "bench/policy_bench.h"
+#include "bench/request_bench.h"
 
 namespace sassafras {
 namespace {
@@ -24,6 +25,7 @@
 std::vector<bench_command> BenchCommands() {
   return {
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
+      {"requests", "request path under overload and faults", RunRequestBench},
   };
 }
 
--- a/include/sassafras/request/claim_writer.h
+++ b/include/sassafras/request/claim_writer.h
@@ -90,6 +90,7 @@
   using batch = std::vector<request_id>;
 
   void StartBatch(bool is_read, instant now, request_actions& actions);
+  static bool IsOurs(const pending_write& pending, const table_row& row);
   void Settle(pending_write& pending,
               const table_row& row,
               std::vector<claim_written>& ended);
--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -14,7 +14,6 @@
 
 constexpr duration kMembersInterval = std::chrono::milliseconds(500);
 constexpr duration kLeavingInterval = std::chrono::seconds(1);
-constexpr std::string_view kSchedulerPrefix = "scheduler";
 constexpr std::string_view kMinionPath = "/v1/requests/";
 
 std::string MakeIncarnation() {
@@ -24,8 +23,8 @@
   return text.str();
 }
 
-bool IsGateway(const process_id& id) {
-  return id.value.rfind(kSchedulerPrefix, 0) != 0;
+bool IsGateway(const peer_settings& peer) {
+  return peer.role == process_role::kGateway;
 }
 
 request_options MakeOptions(const process_settings& settings,
@@ -35,7 +34,7 @@
   options.place = settings.place;
   const auto others = std::count_if(
       settings.peers.begin(), settings.peers.end(), [&](const auto& peer) {
-        return IsGateway(peer.id) && peer.id != settings.id;
+        return IsGateway(peer) && peer.id != settings.id;
       });
   options.gateway_count = 1 + static_cast<int>(others);
   return options;
@@ -317,7 +316,7 @@
   members_changed event;
   event.gateways.push_back(self_);
   for (const peer_settings& peer : node_.Settings().peers) {
-    if (IsGateway(peer.id) && peer.id != self_.id) {
+    if (IsGateway(peer) && peer.id != self_.id) {
       event.gateways.push_back({peer.id, {}});
     }
   }
--- a/src/request/claim_writer.cc
+++ b/src/request/claim_writer.cc
@@ -123,6 +123,11 @@
   ended.push_back({request, is_done, std::move(row)});
 }
 
+bool claim_writer::IsOurs(const pending_write& pending, const table_row& row) {
+  return row.version > 0 && std::find(pending.sent.begin(), pending.sent.end(),
+                                      row.value) != pending.sent.end();
+}
+
 // Compares the row as it is now with what was asked for.
 void claim_writer::Settle(pending_write& pending,
                           const table_row& row,
@@ -132,11 +137,10 @@
     End(pending.write.request, true, row, ended);
     return;
   }
-  const bool is_ours = std::find(pending.sent.begin(), pending.sent.end(),
-                                 row.value) != pending.sent.end();
-  if (row.version > 0 && is_ours) {
+  if (IsOurs(pending, row)) {
     // An earlier value took effect and was replaced since: write over it.
-    pending.write.expected_version = row.version;
+    pending.write.expected_version =
+        std::max(pending.write.expected_version, row.version);
     return;
   }
   if (row.version == pending.write.expected_version) {
@@ -192,10 +196,17 @@
     if (it == writes_.end()) {
       continue;
     }
-    it->second.is_busy = false;
-    const table_row* row = FindRow(event.answer.rows, it->second.write.key);
-    if (is_done && row != nullptr) {
-      Settle(it->second, *row, ended);
+    pending_write& pending = it->second;
+    pending.is_busy = false;
+    const table_row* row = FindRow(event.answer.rows, pending.write.key);
+    if (!is_done || row == nullptr) {
+      continue;
+    }
+    // Reads lag, so that only a row of ours proves anything. Otherwise the
+    // same condition is tried again: a conflict tells what the row is now.
+    pending.needs_read = false;
+    if (IsOurs(pending, *row)) {
+      Settle(pending, *row, ended);
     }
   }
   return ended;
--- a/src/request/request_claims.cc
+++ b/src/request/request_claims.cc
@@ -213,6 +213,10 @@
     case request_phase::kRecording:
       if (!written.is_done) {
         counters_.Add("claim_record_conflict");
+        if (!entry->is_answered) {
+          OnClaimRow(*entry, written.row);  // Its holder was not dead.
+          return;
+        }
       }
       if (!entry->is_answered) {
         FailAs(*entry, {error_kind::kMinionLost, "first submission"},
--- a/tests/request_claim_test.cc
+++ b/tests/request_claim_test.cc
@@ -148,6 +148,22 @@
   CHECK(StateOf(world, "k") == claim_state::kAnswered);
 }
 
+TEST_CASE("A lagging read does not end a write whose answer was lost") {
+  request_world world(2, 4);
+  for (auto& [name, item] : world.minions_by_name) {
+    item.mode = minion_mode::kResets;
+  }
+  const auto first = world.Submit(0, "reset", "k");
+  world.Run(milliseconds(12));
+  world.reads_lag = true;
+  world.lose_commit_answers = 1;
+  world.Run(seconds(2));
+  CHECK(first->outcome == run_outcome::kUnknown);
+  CHECK(StateOf(world, "k") == claim_state::kUnknown);
+  CHECK(world.gateways[0]->core->Load().open == 0);
+  CHECK(world.gateways[0]->counters.Get("claim_commit_unknown") == 1);
+}
+
 TEST_CASE("While the store is away idempotent requests go on") {
   request_world world(2, 4);
   world.store_away = true;
--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -185,6 +185,7 @@
   std::map<std::string, table_row> rows;
   std::map<std::string, std::string> objects;
   bool store_away = false;
+  bool reads_lag = false;  ///< Reads see no row at all.
   bool drop_peer_messages = false;
   bool refresh_members = true;
   int lose_commit_answers = 0;  ///< Commits that take effect unanswered.
@@ -350,7 +351,7 @@
   if (!store_away) {
     answer.state = answer_state::kDone;
     for (const std::string& key : action.keys) {
-      table_row row = rows[key];
+      table_row row = reads_lag ? table_row() : rows[key];
       row.key = key;
       answer.rows.push_back(row);
     }
