--- a/tests/request_world.h
+++ b/tests/request_world.h
@@ -185,6 +185,7 @@
   std::map<std::string, table_row> rows;
   std::map<std::string, std::string> objects;
   bool store_away = false;
+  bool reads_lag = false;  ///< Reads see no row at all.
   bool drop_peer_messages = false;
   bool refresh_members = true;
   int lose_commit_answers = 0;  ///< Commits that take effect unanswered.
@@ -246,7 +247,6 @@
     told.at = now;
   }
   void Do(const owner_ptr& owner, send_request& action);
-  void Do(const owner_ptr& owner, cancel_send& action);
   void Do(const owner_ptr& owner, commit_rows& action);
   void Do(const owner_ptr& owner, read_rows& action);
   void Do(const owner_ptr& owner, store_answer& action);
@@ -313,14 +313,6 @@
   At(std::min(work, action.timeout), [=] { end(event, true); });
 }
 
-inline void request_world::Do(const owner_ptr& owner, cancel_send& action) {
-  At(duration(0), [this, owner, id = action.send] {
-    if (open_sends_.erase({owner.get(), id}) > 0) {
-      Give(owner, send_ended{id, answer_state::kUnknown, 0, false});
-    }
-  });
-}
-
 inline void request_world::Do(const owner_ptr& owner, commit_rows& action) {
   if (IsKilledBefore(*owner, action)) {
     return;
@@ -359,7 +351,7 @@
   if (!store_away) {
     answer.state = answer_state::kDone;
     for (const std::string& key : action.keys) {
-      table_row row = rows[key];
+      table_row row = reads_lag ? table_row() : rows[key];
       row.key = key;
       answer.rows.push_back(row);
     }
