Move loans together and let large gangs drain

Cause: borrowed jobs of one accelerator lay scattered, and small jobs in large guarantee cells kept a place from ever being free for a gang of 16 workers. Change: work that cannot be moved gathers where more of it is; a job borrows before it uses a larger guarantee; more gangs drain at once (one and one more for two racks); loans are moved by checkpoint when the useful accelerators gained outweigh the restart (compact_worth); a claim does not wait for later claims on the same worker.

--- a/bench/policy_run.h
+++ b/bench/policy_run.h
@@ -41,7 +41,7 @@
 /// until all jobs have ended. Repeatable but for the decision times.
 policy_trace RunPolicy(const policy_site& site,
                        const std::vector<offered_job>& load,
-                       planner_policy policy,
+                       const planner_options& options,
                        std::uint64_t seed);
 
 }  // namespace sassafras
--- a/include/sassafras/job/planner.h
+++ b/include/sassafras/job/planner.h
@@ -28,6 +28,11 @@
 /// Settings of the planner.
 struct planner_options {
   planner_policy policy = planner_policy::kReserve;
+
+  /// Running time that an accelerator may lose to a checkpoint and a move for
+  /// each free accelerator that becomes useful by it. More of it means less
+  /// fragmentation and more moves; 0 moves nothing for that purpose.
+  duration compact_worth = std::chrono::seconds(240);
 };
 
 /// One job as the planner knows it.
--- a/src/job/group_search.cc
+++ b/src/job/group_search.cc
@@ -6,6 +6,9 @@
 namespace sassafras {
 namespace {
 
+// Costs below this are preferences between free workers.
+constexpr double kLeastLoss = 1;
+
 // One worker that can be used.
 struct candidate {
   int worker = 0;
@@ -146,8 +149,9 @@
     }
     const auto end = static_cast<std::size_t>(count_);
     if (level_ == shape_level::kPlace && order_ == group_order::kTightest &&
-        found[end - 1].cost == 0) {
-      std::erase_if(found, [](const candidate& item) { return item.cost > 0; });
+        found[end - 1].cost < kLeastLoss) {
+      std::erase_if(
+          found, [](const candidate& item) { return item.cost >= kLeastLoss; });
       found = OrderByRack(workers_, std::move(found), count_);
     }
     worker_group group;
--- a/src/job/guarantee_table.cc
+++ b/src/job/guarantee_table.cc
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr resources kNothing = {};
+// Cells gather where work that cannot be moved is, before they fill gaps.
+constexpr double kFixedWeight = 20;  // Accelerators.
 
 bool IsLarger(const guarantee_cell& a, const guarantee_cell& b) {
   return std::make_tuple(a.promised.level, a.promised.workers,
@@ -109,7 +111,7 @@
     if (!left.Holds(promised.per_worker)) {
       return std::nullopt;
     }
-    return static_cast<double>(left.accelerators);
+    return left.accelerators + kFixedWeight * (1 - workers_.FixedShare(worker));
   };
   const auto group = FindGroup(workers_, promised.level, promised.workers,
                                group_order::kTightest, cost);
--- a/src/job/inventory.cc
+++ b/src/job/inventory.cc
@@ -6,6 +6,12 @@
 namespace sassafras {
 namespace {
 
+// Weights of the surroundings of a worker. They add up to less than 1, the
+// least cost of an eviction.
+constexpr double kPlaceWeight = 0.6;
+constexpr double kRackWeight = 0.25;
+constexpr double kWorkerWeight = 0.1;
+
 // Dense indices of names, in order of their first use.
 template <class Id>
 class dense_index {
@@ -82,6 +88,35 @@
   RemoveOne(state.occupants, job);
 }
 
+void inventory::SumFixed() {
+  const auto share = [this](const std::vector<int>& group) {
+    int fixed = 0;
+    int all = 1;
+    for (const int worker : group) {
+      fixed += (*this)[worker].fixed;
+      all += (*this)[worker].capacity.accelerators;
+    }
+    return static_cast<double>(fixed) / all;
+  };
+  rack_fixed_.clear();
+  for (const std::vector<int>& rack : racks_) {
+    rack_fixed_.push_back(share(rack));
+  }
+  place_fixed_.clear();
+  for (const std::vector<int>& place : places_) {
+    place_fixed_.push_back(share(place));
+  }
+}
+
+double inventory::FixedShare(int worker) const {
+  const worker_state& state = (*this)[worker];
+  const double own = static_cast<double>(state.fixed) /
+                     std::max(state.capacity.accelerators, 1);
+  return kPlaceWeight * place_fixed_[static_cast<std::size_t>(state.place)] +
+         kRackWeight * rack_fixed_[static_cast<std::size_t>(state.rack)] +
+         kWorkerWeight * own;
+}
+
 void inventory::Claim(int worker, int job, const resources& need) {
   worker_state& state = (*this)[worker];
   state.claimed += need;
--- a/src/job/inventory.h
+++ b/src/job/inventory.h
@@ -20,6 +20,7 @@
   resources held;      ///< By jobs that hold it, the stopping ones included.
   resources stopping;  ///< The part of `held` that is being given back.
   resources claimed;   ///< Kept for jobs whose victims are stopping.
+  int fixed = 0;       ///< Accelerators held by jobs that cannot be moved.
   resources promised;  ///< Guarantee cells and firm work outside of them.
   std::vector<int> occupants;  ///< Jobs that hold or claim it.
 
@@ -82,6 +83,13 @@
   void Hold(int worker, int job, const resources& need);
   void Release(int worker, int job, const resources& need);
 
+  /// Sums `fixed` by rack and place, for FixedShare().
+  void SumFixed();
+
+  /// How much of what surrounds `worker` cannot be moved: 0 to 1, by its place
+  /// first, then its rack, then itself.
+  double FixedShare(int worker) const;
+
   /// Adds or takes `need` of job `job` to what is claimed on `worker`.
   void Claim(int worker, int job, const resources& need);
   void Unclaim(int worker, int job, const resources& need);
@@ -91,6 +99,8 @@
   std::unordered_map<worker_id, int> index_;
   std::vector<std::vector<int>> racks_;
   std::vector<std::vector<int>> places_;
+  std::vector<double> rack_fixed_;  // Share of accelerators, 0 to 1.
+  std::vector<double> place_fixed_;
 };
 
 }  // namespace sassafras
--- a/src/job/job_entry.h
+++ b/src/job/job_entry.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRAS_JOB_JOB_ENTRY_H_
 #define SASSAFRAS_JOB_JOB_ENTRY_H_
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 #include <vector>
@@ -36,10 +37,12 @@
 
   job_phase phase = job_phase::kWaiting;
   hold_terms terms = hold_terms::kNone;
-  bool claiming = false;  ///< Waits for victims to stop on `workers`.
+  std::uint64_t claim_order = 0;  ///< Of its claims; earlier ones go first.
+  bool claiming = false;          ///< Waits for victims to stop on `workers`.
   std::vector<worker_id> worker_names;
   std::vector<int> workers;  ///< Indices of the inventory.
   resources need;            ///< Held on each worker.
+  std::vector<int> move_to;  ///< Claimed for it while it stops to be moved.
   int cell = -1;             ///< Index of the guarantee table, or -1.
 
   instant started;
@@ -52,6 +55,10 @@
     return wanted != nullptr && class_object != nullptr && team >= 0;
   }
 
+  bool MovesTo(int worker) const {
+    return std::find(move_to.begin(), move_to.end(), worker) != move_to.end();
+  }
+
   int Accelerators() const {
     return need.accelerators * static_cast<int>(workers.size());
   }
--- a/src/job/planner_decide.cc
+++ b/src/job/planner_decide.cc
@@ -20,6 +20,12 @@
 constexpr std::string_view kStopRepeated = "plan_stop_repeated";
 constexpr std::string_view kCellsUnbound = "plan_guarantee_unbound";
 
+resources Unheld(const worker_state& state) {
+  resources left = state.capacity;
+  left -= state.held;
+  return left;
+}
+
 }  // namespace
 
 // Work that a guarantee needs to evict must be restartable; other work keeps
@@ -46,11 +52,16 @@
   UpdateShareUse();
   IndexReservations();
   if (!IsBaseline()) {
+    workers_.SumFixed();
     PromiseReserved();
-    PlaceGuaranteed();
+    PlaceGuaranteed(cell_fit::kExact);
     PlaceReserved();
   }
   PlaceOpen();
+  if (!IsBaseline()) {
+    PlaceGuaranteed(cell_fit::kLarger);
+    Compact();
+  }
   return std::move(plan_);
 }
 
@@ -85,6 +96,21 @@
   }
 }
 
+// What a claim finds free on a worker: later claims give way to it.
+resources planner::impl::FreeForClaim(int job, int worker) const {
+  const worker_state& state = workers_[worker];
+  resources left = state.capacity;
+  left -= state.held;
+  for (const int other : state.occupants) {
+    const job_entry& entry = jobs_[other];
+    const bool claims = entry.claiming || entry.MovesTo(worker);
+    if (claims && entry.claim_order < jobs_[job].claim_order) {
+      left -= entry.need;
+    }
+  }
+  return left;
+}
+
 void planner::impl::FinishClaims() {
   const std::set<int> claiming = claiming_;
   for (const int job : claiming) {
@@ -98,9 +124,8 @@
     }
     const bool free = std::all_of(
         entry.workers.begin(), entry.workers.end(), [&](int worker) {
-          resources left = workers_[worker].Free();
-          left += entry.need;
-          return workers_[worker].usable && left.Holds(entry.need);
+          return workers_[worker].usable &&
+                 FreeForClaim(job, worker).Holds(entry.need);
         });
     if (!free) {
       continue;
@@ -224,8 +249,13 @@
     return workers_[worker].Free().Holds(need) &&
            (reserved_on_[static_cast<std::size_t>(worker)] & ~allowed) == 0;
   };
+  // Work that cannot be moved gathers where more of it is.
+  const bool gathers = terms == hold_terms::kFirm && !IsBaseline();
   const auto free_cost = [&](int worker) -> std::optional<double> {
-    return is_free(worker) ? std::optional<double>(0) : std::nullopt;
+    if (!is_free(worker)) {
+      return std::nullopt;
+    }
+    return gathers ? 1 - workers_.FixedShare(worker) : 0;
   };
   const group_order order = policy_ == planner_policy::kFirstFit
                                 ? group_order::kFirst
@@ -240,9 +270,8 @@
   }
   // The cells on the tightest group cannot move: use what is unpromised.
   const auto unpromised_cost = [&](int worker) -> std::optional<double> {
-    const bool fits =
-        is_free(worker) && workers_[worker].Unpromised().Holds(need);
-    return fits ? std::optional<double>(0) : std::nullopt;
+    return workers_[worker].Unpromised().Holds(need) ? free_cost(worker)
+                                                     : std::nullopt;
   };
   group = FindGroup(workers_, entry.wanted->level, entry.wanted->workers, order,
                     unpromised_cost);
@@ -291,6 +320,7 @@
     workers_.Claim(worker, job, entry.need);
   }
   entry.claiming = true;
+  entry.claim_order = next_claim_++;
   claiming_.insert(job);
   for (const int worker : entry.workers) {
     CheckInvariant(workers_[worker].SoonFree().Holds({}),
@@ -306,6 +336,10 @@
     DropClaim(victim);
     return;
   }
+  if (!entry.move_to.empty()) {
+    DropMove(victim);
+    return;
+  }
   const bool checkpoint = Victims().MayCheckpoint(victim);
   ++entry.evictions;
   MarkStopping(victim, true);
@@ -322,7 +356,7 @@
   entry.worker_names.clear();
   for (const int worker : entry.workers) {
     const worker_state& state = workers_[worker];
-    CheckInvariant(state.usable && state.Free().Holds(entry.need),
+    CheckInvariant(state.usable && Unheld(state).Holds(entry.need),
                    "placement_within_free_capacity");
     entry.worker_names.push_back(state.id);
   }
--- a/src/job/planner_drain.cc
+++ b/src/job/planner_drain.cc
@@ -8,7 +8,7 @@
 
 // Gangs that may drain workers at the same time: one, and one more for each of
 // this many racks. At most as many as a reservation mask has bits.
-constexpr int kRacksPerReservation = 8;
+constexpr int kRacksPerReservation = 2;
 constexpr std::size_t kGreatestReservations = 64;
 // Reservations are planned anew after this time.
 constexpr duration kPlanningPeriod = std::chrono::seconds(10);
--- a/src/job/planner_guarantee.cc
+++ b/src/job/planner_guarantee.cc
@@ -6,13 +6,19 @@
 namespace sassafras {
 namespace {
 
+// Cost of an accelerator that drains for a large gang, in seconds, so that a
+// guarantee moves a loan elsewhere rather than hold up the gang.
+constexpr double kDrainCost = 240;
+
+constexpr int kDrainRank = 1 << 20;
+
 constexpr std::string_view kReclaims = "plan_guarantee_reclaimed";
 
 }  // namespace
 
 // Starts waiting jobs on the guarantees of their teams. One bucket's failure
 // does not hold up another.
-void planner::impl::PlaceGuaranteed() {
+void planner::impl::PlaceGuaranteed(cell_fit fit) {
   for (const queue_rank& rank : RankedBuckets()) {
     if (cells_.OfTeam(rank.key.team).empty()) {
       continue;
@@ -20,25 +26,28 @@
     for (const bucket* waiting = FindBucket(rank.key);
          waiting != nullptr && starts_left_ > 0;
          waiting = FindBucket(rank.key)) {
-      if (!StartOnGuarantee(waiting->begin()->second)) {
+      if (!StartOnGuarantee(waiting->begin()->second, fit)) {
         break;
       }
     }
   }
 }
 
-// Uses the cell that leaves the least unused: first those in use that have
-// room, then the smallest unused one that holds the shape.
-bool planner::impl::StartOnGuarantee(int job) {
+// Uses the cell that leaves the least unused: of the larger ones first those
+// in use that have room. Cells on workers that drain come last.
+bool planner::impl::StartOnGuarantee(int job, cell_fit fit) {
   const shape& wanted = *jobs_[job].wanted;
   std::vector<std::pair<int, int>> order;
   for (const int cell : cells_.OfTeam(jobs_[job].team)) {
     const guarantee_cell& item = cells_[cell];
-    if (!item.IsBound() || !CanHold(item.promised, wanted)) {
+    const bool exact = IsSameShape(item.promised, wanted);
+    if (!item.IsBound() || exact != (fit == cell_fit::kExact) ||
+        !CanHold(item.promised, wanted)) {
       continue;
     }
-    const int size = item.promised.TotalAccelerators();
-    order.emplace_back(item.IsUsed() ? -1 : size, cell);
+    int rank = item.IsUsed() ? 0 : item.promised.TotalAccelerators();
+    rank += item.IsUsed() && Drains(item) ? kDrainRank : 0;
+    order.emplace_back(rank, cell);
   }
   std::sort(order.begin(), order.end());
   for (const auto& [size, cell] : order) {
@@ -53,6 +62,13 @@
   return false;
 }
 
+bool planner::impl::Drains(const guarantee_cell& cell) const {
+  return std::any_of(
+      cell.workers.begin(), cell.workers.end(), [this](int worker) {
+        return reserved_on_[static_cast<std::size_t>(worker)] != 0;
+      });
+}
+
 // Within a cell that stays where it is.
 std::optional<planner::impl::cell_choice> planner::impl::ChooseInUsedCell(
     int job,
@@ -99,7 +115,14 @@
     if (!workers_[worker].Unpromised().Holds(promised.per_worker)) {
       return std::nullopt;
     }
-    return victims.Cost(worker, wanted.per_worker, rule);
+    const std::optional<double> lost =
+        victims.Cost(worker, wanted.per_worker, rule);
+    const bool drains = reserved_on_[static_cast<std::size_t>(worker)] != 0;
+    if (!lost) {
+      return std::nullopt;
+    }
+    return *lost + 1 - workers_.FixedShare(worker) +
+           (drains ? kDrainCost * wanted.per_worker.accelerators : 0);
   };
   const auto group = FindGroup(workers_, promised.level, promised.workers,
                                group_order::kTightest, cost);
@@ -127,7 +150,7 @@
     if (choice && (!best || choice->cost < best->cost)) {
       best = std::move(choice);
     }
-    if (best && best->cost == 0) {
+    if (best && best->cost < 1) {
       break;
     }
   }
--- a/src/job/planner_impl.h
+++ b/src/job/planner_impl.h
@@ -26,9 +26,16 @@
   std::int64_t accelerators = 0;  ///< Held by its jobs.
 };
 
+/// Which cells of its team a job looks at.
+enum class cell_fit : std::uint8_t {
+  kExact,   ///< Those of its own shape: at once.
+  kLarger,  ///< Those of a larger shape: if nothing is free to borrow.
+};
+
 /// State of the planner. planner_state.cc keeps the tables, planner_decide.cc
-/// and planner_guarantee.cc choose, planner_drain.cc keeps reservations, and
-/// planner_explain.cc tells why a job waits.
+/// and planner_guarantee.cc choose, planner_drain.cc keeps reservations,
+/// planner_compact.cc moves loans together, and planner_explain.cc tells why a
+/// job waits.
 class planner::impl {
  public:
   impl(planner_options options, counter_table& counters);
@@ -89,6 +96,8 @@
   void Vacate(int job);
   void MarkStopping(int job, bool stopping);
   void DropClaim(int job);
+  void FollowMove(int job);
+  void DropMove(int job);
   void EmptyCell(int cell);
   void DetachFromCell(int job);
   bool AdoptCell(int job);
@@ -101,13 +110,15 @@
   hold_terms OpenTerms(const job_entry& entry) const;
   void RepairGuarantees();
   void RepeatStops();
+  resources FreeForClaim(int job, int worker) const;
   void FinishClaims();
   void UpdateShareUse();
   queue_rank RankOf(const bucket_key& key, const bucket& waiting) const;
   std::vector<queue_rank> RankedBuckets() const;
   const bucket* FindBucket(const bucket_key& key) const;
-  void PlaceGuaranteed();
-  bool StartOnGuarantee(int job);
+  void PlaceGuaranteed(cell_fit fit);
+  bool StartOnGuarantee(int job, cell_fit fit);
+  bool Drains(const guarantee_cell& cell) const;
   std::optional<cell_choice> ChooseInUsedCell(int job, int cell) const;
   std::optional<cell_choice> ChooseForUnusedCell(int job, int cell);
   std::optional<cell_choice> ChooseTwinCell(int job, int cell) const;
@@ -136,12 +147,24 @@
   instant ExpectedEnd(int job) const;
   victim_search Victims() const;
 
+  // planner_compact.cc
+  void Compact();
+  bool IsMovable(int job) const;
+  bool VacateOneWorker();
+  bool FillOneGap();
+  double GapValue(int free) const;
+  bool GatherWholeWorkers();
+  std::optional<std::vector<std::pair<int, int>>> PlanVacating(
+      int source) const;
+  void Move(int job, int to);
+
   // planner_explain.cc
   std::string DescribeNeed(const shape& wanted) const;
   bool HasFreeGroup(int job, bool unpromised, bool open) const;
   std::string ExplainPlaceable(int job) const;
 
   planner_policy policy_;
+  double compact_worth_;  // Seconds.
   counter_table& counters_;
   config_ptr config_;
   std::set<worker_id> unusable_;
@@ -153,12 +176,15 @@
   std::map<std::pair<const shape*, bool>, bool> fits_;
   run_estimates estimates_;
   std::uint64_t next_sequence_ = 0;
+  std::uint64_t next_claim_ = 0;
+  std::map<int, double> demand_;  // Accelerator seconds by size per worker.
 
   std::set<int> claiming_;
   std::set<int> unconfirmed_stops_;
   std::vector<reservation> reservations_;
   std::vector<std::uint64_t> reserved_on_;  // Reservations by worker, as bits.
   instant reservations_planned_;
+  instant compacted_;
   bool promises_changed_ = true;
   bool reserved_changed_ = true;  // Firm work left since they were promised.
 
--- a/src/job/planner_state.cc
+++ b/src/job/planner_state.cc
@@ -33,7 +33,11 @@
 }  // namespace
 
 planner::impl::impl(planner_options options, counter_table& counters)
-    : policy_(options.policy), counters_(counters), cells_(workers_) {}
+    : policy_(options.policy),
+      compact_worth_(
+          std::chrono::duration<double>(options.compact_worth).count()),
+      counters_(counters),
+      cells_(workers_) {}
 
 void planner::impl::SetConfig(const config_ptr& config) {
   std::vector<guarantee_cell> former_cells;
@@ -50,6 +54,9 @@
   while (!claiming_.empty()) {
     DropClaim(*claiming_.begin());
   }
+  for (const auto& [id, job] : jobs_.Index()) {
+    DropMove(job);
+  }
   jobs_.ClearBuckets();
   reservations_.clear();
   fits_.clear();
@@ -60,6 +67,7 @@
   RestoreHolds();
   RestoreCells(former_cells, former_teams, former_workers);
   promises_changed_ = true;
+  workers_.SumFixed();
   RepairGuarantees();
 }
 
@@ -180,6 +188,8 @@
   for (const int job : occupants) {
     if (jobs_[job].claiming) {
       DropClaim(job);
+    } else if (jobs_[job].MovesTo(index)) {
+      DropMove(job);
     }
   }
   for (int cell = 0; cell < cells_.size(); ++cell) {
@@ -252,6 +262,11 @@
     return refusal;
   }
   entry.order = {job.submitted, next_sequence_++};
+  if (entry.wanted->TotalAccelerators() > 1) {
+    demand_[entry.wanted->per_worker.accelerators] +=
+        static_cast<double>(job.declared_run.count()) *
+        entry.wanted->TotalAccelerators();
+  }
   jobs_.Enqueue(jobs_.Insert(std::move(entry)));
   return std::nullopt;
 }
@@ -359,6 +374,9 @@
   const job_entry& entry = jobs_[job];
   for (const int worker : entry.workers) {
     workers_.Hold(worker, job, entry.need);
+    if (entry.terms != hold_terms::kBorrowed) {
+      workers_[worker].fixed += entry.need.accelerators;
+    }
     if (entry.phase == job_phase::kStopping) {
       workers_[worker].stopping += entry.need;
     }
@@ -377,6 +395,9 @@
   MarkStopping(job, false);
   for (const int worker : entry.workers) {
     workers_.Release(worker, job, entry.need);
+    if (entry.terms != hold_terms::kBorrowed) {
+      workers_[worker].fixed -= entry.need.accelerators;
+    }
   }
   if (entry.team >= 0) {
     teams_[static_cast<std::size_t>(entry.team)].accelerators -=
@@ -415,6 +436,24 @@
   jobs_.Enqueue(job);
 }
 
+// A moved job has stopped: it claims the workers that are kept for it.
+void planner::impl::FollowMove(int job) {
+  job_entry& entry = jobs_[job];
+  entry.workers = std::move(entry.move_to);
+  entry.move_to.clear();
+  entry.terms = hold_terms::kBorrowed;
+  entry.claiming = true;
+  claiming_.insert(job);
+}
+
+void planner::impl::DropMove(int job) {
+  job_entry& entry = jobs_[job];
+  for (const int worker : entry.move_to) {
+    workers_.Unclaim(worker, job, entry.need);
+  }
+  entry.move_to.clear();
+}
+
 void planner::impl::MarkStopping(int job, bool stopping) {
   job_entry& entry = jobs_[job];
   const bool marked = entry.phase == job_phase::kStopping;
@@ -443,7 +482,11 @@
     case job_phase::kWaiting:
       Vacate(index);
       entry.phase = job_phase::kWaiting;
-      jobs_.Enqueue(index);
+      if (entry.move_to.empty()) {
+        jobs_.Enqueue(index);
+      } else {
+        FollowMove(index);
+      }
       return;
     case job_phase::kStopping:
       MarkStopping(index, true);
@@ -452,6 +495,7 @@
       entry.started = entry.phase == job_phase::kStarting ? now : entry.started;
       [[fallthrough]];
     case job_phase::kStarting:
+      DropMove(index);
       MarkStopping(index, false);
       entry.phase = phase;
       return;
@@ -478,6 +522,7 @@
   if (entry.claiming) {
     DropClaim(index);
   }
+  DropMove(index);
   if (entry.terms == hold_terms::kNone) {
     jobs_.Dequeue(index);
   } else {
--- a/src/job/victims.cc
+++ b/src/job/victims.cc
@@ -43,11 +43,8 @@
 
 double victim_search::Loss(int job) const {
   const job_entry& entry = jobs_[job];
-  if (entry.claiming) {
-    return 0;
-  }
   duration lost = kRestartLoss;
-  if (!MayCheckpoint(job)) {
+  if (!entry.claiming && !MayCheckpoint(job)) {
     lost += now_ - std::max(entry.started, entry.checkpointed);
   }
   double loss = Seconds(lost) * std::max(entry.Accelerators(), 1);
@@ -64,12 +61,14 @@
   return loss;
 }
 
-bool victim_search::MayGiveWay(int job, const eviction_rule& rule) const {
+bool victim_search::MayGiveWay(int worker,
+                               int job,
+                               const eviction_rule& rule) const {
   const job_entry& entry = jobs_[job];
   if (job == rule.beneficiary || entry.terms != hold_terms::kBorrowed) {
     return false;
   }
-  if (entry.claiming) {
+  if (entry.claiming || entry.MovesTo(worker)) {
     return rule.claims_too;
   }
   if (entry.phase == job_phase::kStopping) {
@@ -83,7 +82,7 @@
                                          const eviction_rule& rule) const {
   std::vector<std::pair<double, int>> order;
   for (const int job : workers_[worker].occupants) {
-    if (MayGiveWay(job, rule)) {
+    if (MayGiveWay(worker, job, rule)) {
       order.emplace_back(Loss(job), job);
     }
   }
@@ -122,7 +121,9 @@
                                      const std::vector<int>& victims) const {
   resources left = workers_[worker].SoonFree();
   for (const int job : workers_[worker].occupants) {
-    if (Contains(victims, job)) {
+    const bool stops =
+        jobs_[job].phase == job_phase::kStopping && !jobs_[job].MovesTo(worker);
+    if (!stops && Contains(victims, job)) {
       left += jobs_[job].need;
     }
   }
--- a/src/job/victims.h
+++ b/src/job/victims.h
@@ -49,7 +49,7 @@
   bool MayCheckpoint(int job) const;
 
  private:
-  bool MayGiveWay(int job, const eviction_rule& rule) const;
+  bool MayGiveWay(int worker, int job, const eviction_rule& rule) const;
   std::vector<int> Cheapest(int worker, const eviction_rule& rule) const;
   resources LeftWithout(int worker, const std::vector<int>& victims) const;
 
