Keep small batch jobs out of larger guarantee cells

Cause: batch jobs of one accelerator ran inside cells of whole workers one after the other, so that these never moved; a cell of the same shape on a draining place was taken at no cost. Change: a job uses a larger cell only with the same part per worker, or if it is urgent; what drains for a gang has a price in every choice for a guarantee.

--- a/src/job/planner_guarantee.cc
+++ b/src/job/planner_guarantee.cc
@@ -42,7 +42,7 @@
     const guarantee_cell& item = cells_[cell];
     const bool exact = IsSameShape(item.promised, wanted);
     if (!item.IsBound() || exact != (fit == cell_fit::kExact) ||
-        !CanHold(item.promised, wanted)) {
+        !MayUse(item, jobs_[job])) {
       continue;
     }
     int rank = item.IsUsed() ? 0 : item.promised.TotalAccelerators();
@@ -62,6 +62,28 @@
   return false;
 }
 
+// What others lose if the job runs on `worker`. Between free workers, those
+// that drain for no one and are among other work that cannot be moved.
+std::optional<double> planner::impl::GuaranteeCost(int job, int worker) const {
+  const resources& need = jobs_[job].wanted->per_worker;
+  const std::optional<double> lost =
+      Victims().Cost(worker, need, {true, job, 0});
+  if (!lost) {
+    return std::nullopt;
+  }
+  const bool drains = reserved_on_[static_cast<std::size_t>(worker)] != 0;
+  return *lost + 1 - workers_.FixedShare(worker) +
+         (drains ? kDrainCost * need.accelerators : 0);
+}
+
+// A small job does not keep a large cell from moving, unless it is urgent.
+bool planner::impl::MayUse(const guarantee_cell& cell,
+                           const job_entry& entry) const {
+  const bool whole = cell.promised.per_worker == entry.wanted->per_worker;
+  return CanHold(cell.promised, *entry.wanted) &&
+         (whole || entry.class_object->order == urgency::kUrgent);
+}
+
 bool planner::impl::Drains(const guarantee_cell& cell) const {
   return std::any_of(
       cell.workers.begin(), cell.workers.end(), [this](int worker) {
@@ -75,14 +97,12 @@
     int cell) const {
   const guarantee_cell& item = cells_[cell];
   const shape& wanted = *jobs_[job].wanted;
-  const eviction_rule rule{true, job, 0};
   std::vector<std::pair<double, int>> order;
   for (std::size_t i = 0; i < item.workers.size(); ++i) {
     if (!item.room[i].Holds(wanted.per_worker)) {
       continue;
     }
-    const std::optional<double> cost =
-        Victims().Cost(item.workers[i], wanted.per_worker, rule);
+    const std::optional<double> cost = GuaranteeCost(job, item.workers[i]);
     if (cost) {
       order.emplace_back(*cost, item.workers[i]);
     }
@@ -107,22 +127,13 @@
     int cell) {
   const shape promised = cells_[cell].promised;
   const shape& wanted = *jobs_[job].wanted;
-  const eviction_rule rule{true, job, 0};
-  const victim_search victims = Victims();
   const std::vector<int> former = cells_[cell].workers;
   cells_.Unbind(cell);
   const auto cost = [&](int worker) -> std::optional<double> {
     if (!workers_[worker].Unpromised().Holds(promised.per_worker)) {
       return std::nullopt;
     }
-    const std::optional<double> lost =
-        victims.Cost(worker, wanted.per_worker, rule);
-    const bool drains = reserved_on_[static_cast<std::size_t>(worker)] != 0;
-    if (!lost) {
-      return std::nullopt;
-    }
-    return *lost + 1 - workers_.FixedShare(worker) +
-           (drains ? kDrainCost * wanted.per_worker.accelerators : 0);
+    return GuaranteeCost(job, worker);
   };
   const auto group = FindGroup(workers_, promised.level, promised.workers,
                                group_order::kTightest, cost);
--- a/src/job/planner_impl.h
+++ b/src/job/planner_impl.h
@@ -118,6 +118,8 @@
   const bucket* FindBucket(const bucket_key& key) const;
   void PlaceGuaranteed(cell_fit fit);
   bool StartOnGuarantee(int job, cell_fit fit);
+  bool MayUse(const guarantee_cell& cell, const job_entry& entry) const;
+  std::optional<double> GuaranteeCost(int job, int worker) const;
   bool Drains(const guarantee_cell& cell) const;
   std::optional<cell_choice> ChooseInUsedCell(int job, int cell) const;
   std::optional<cell_choice> ChooseForUnusedCell(int job, int cell);
--- a/src/job/planner_state.cc
+++ b/src/job/planner_state.cc
@@ -228,7 +228,7 @@
 std::optional<error> planner::impl::CheckFits(const job_entry& entry) {
   const auto& own = cells_.OfTeam(entry.team);
   const bool has_cell = std::any_of(own.begin(), own.end(), [&](int cell) {
-    return CanHold(cells_[cell].promised, *entry.wanted);
+    return MayUse(cells_[cell], entry);
   });
   const bool beyond = !has_cell && OpenTerms(entry) == hold_terms::kFirm;
   const auto [it, added] = fits_.try_emplace({entry.wanted, beyond}, false);
