Move whole workers between racks, and weigh fixed work by shape

Cause: at 1,900 workers most free accelerators were whole workers spread over racks, and unmovable parts of workers each began a worker of their own. Change: each period finds all moves of loans between gaps and between racks that pay and makes the best of them, more on a larger site; a part of a worker goes where the worker holds fixed work already, a whole one by place and rack.

--- a/bench/policy_site.h
+++ b/bench/policy_site.h
@@ -25,6 +25,7 @@
   std::vector<load_part> load;
   double offered = 0.9;  ///< Accelerator time asked for, of what there is.
   duration length{0};    ///< Time in which jobs arrive.
+  duration warm_up{0};   ///< Part of it that fills the site, not measured.
   int large_gang = 0;    ///< Accelerators from which a gang counts as large.
 };
 
--- a/src/job/guarantee_table.cc
+++ b/src/job/guarantee_table.cc
@@ -111,7 +111,9 @@
     if (!left.Holds(promised.per_worker)) {
       return std::nullopt;
     }
-    return left.accelerators + kFixedWeight * (1 - workers_.FixedShare(worker));
+    return left.accelerators +
+           kFixedWeight *
+               (1 - workers_.FixedShare(worker, promised.per_worker));
   };
   const auto group = FindGroup(workers_, promised.level, promised.workers,
                                group_order::kTightest, cost);
--- a/src/job/inventory.cc
+++ b/src/job/inventory.cc
@@ -8,9 +8,14 @@
 
 // Weights of the surroundings of a worker. They add up to less than 1, the
 // least cost of an eviction.
-constexpr double kPlaceWeight = 0.6;
-constexpr double kRackWeight = 0.25;
-constexpr double kWorkerWeight = 0.1;
+struct fixed_weights {
+  double worker;
+  double rack;
+  double place;
+};
+
+constexpr fixed_weights kPartWeights = {0.6, 0.2, 0.15};
+constexpr fixed_weights kWholeWeights = {0, 0.35, 0.6};
 
 // Dense indices of names, in order of their first use.
 template <class Id>
@@ -108,13 +113,16 @@
   }
 }
 
-double inventory::FixedShare(int worker) const {
+double inventory::FixedShare(int worker, const resources& need) const {
   const worker_state& state = (*this)[worker];
   const double own = static_cast<double>(state.fixed) /
                      std::max(state.capacity.accelerators, 1);
-  return kPlaceWeight * place_fixed_[static_cast<std::size_t>(state.place)] +
-         kRackWeight * rack_fixed_[static_cast<std::size_t>(state.rack)] +
-         kWorkerWeight * own;
+  const fixed_weights& weights = need.accelerators < state.capacity.accelerators
+                                     ? kPartWeights
+                                     : kWholeWeights;
+  return weights.worker * own +
+         weights.rack * rack_fixed_[static_cast<std::size_t>(state.rack)] +
+         weights.place * place_fixed_[static_cast<std::size_t>(state.place)];
 }
 
 void inventory::Claim(int worker, int job, const resources& need) {
--- a/src/job/inventory.h
+++ b/src/job/inventory.h
@@ -86,9 +86,10 @@
   /// Sums `fixed` by rack and place, for FixedShare().
   void SumFixed();
 
-  /// How much of what surrounds `worker` cannot be moved: 0 to 1, by its place
-  /// first, then its rack, then itself.
-  double FixedShare(int worker) const;
+  /// How much of what surrounds `worker` cannot be moved: 0 to 1. For a part
+  /// `need` of a worker, counts the worker itself first, then its rack and its
+  /// place; for a whole one, its place first, then its rack.
+  double FixedShare(int worker, const resources& need) const;
 
   /// Adds or takes `need` of job `job` to what is claimed on `worker`.
   void Claim(int worker, int job, const resources& need);
--- a/src/job/planner_compact.cc
+++ b/src/job/planner_compact.cc
@@ -7,11 +7,13 @@
 namespace sassafras {
 namespace {
 
-// Loans are moved together at most once in this time, by this many steps.
+// Loans are moved together at most once in this time.
 constexpr duration kCompactPeriod = std::chrono::seconds(10);
-constexpr int kGreatestSteps = 4;
-// One more whole free worker beside others is worth this part of a whole one.
-constexpr double kGatheredPart = 0.5;
+// Moves of one kind at a time: these, and one more for so many workers.
+constexpr int kLeastMoves = 2;
+constexpr int kWorkersPerMove = 25;
+// Workers vacated at a time.
+constexpr int kGreatestVacated = 4;
 // Weight of gaps of unequal size, so that small steps towards a useful shape
 // count as well.
 constexpr double kSpreadWeight = 1.0 / 32;
@@ -26,12 +28,13 @@
 
 }  // namespace
 
-// A loan on one worker that runs and can be checkpointed.
+// A loan within one rack that runs and can be checkpointed.
 bool planner::impl::IsMovable(int job) const {
   const job_entry& entry = jobs_[job];
   return entry.terms == hold_terms::kBorrowed && !entry.claiming &&
-         entry.phase == job_phase::kRunning && entry.workers.size() == 1 &&
-         entry.IsPlaceable() && Victims().MayCheckpoint(job);
+         entry.phase == job_phase::kRunning && entry.IsPlaceable() &&
+         entry.wanted->level != shape_level::kPlace &&
+         Victims().MayCheckpoint(job);
 }
 
 // Moves loans off partly free workers into the gaps of others, and loans of
@@ -41,18 +44,22 @@
     return;
   }
   compacted_ = now_;
-  for (int step = 0; step < kGreatestSteps; ++step) {
-    if (!VacateOneWorker() && !FillOneGap() && !GatherWholeWorkers()) {
-      return;
-    }
+  const int most = kLeastMoves + workers_.size() / kWorkersPerMove;
+  int steps = 0;
+  while (steps < kGreatestVacated && VacateOneWorker()) {
+    ++steps;
   }
+  FillGaps(most);
+  GatherWholeWorkers(most);
 }
 
-void planner::impl::Move(int job, int to) {
+void planner::impl::Move(int job, const std::vector<int>& to) {
   job_entry& entry = jobs_[job];
   counters_.Add(kMoves);
-  workers_.Claim(to, job, entry.need);
-  entry.move_to = {to};
+  for (const int worker : to) {
+    workers_.Claim(worker, job, entry.need);
+  }
+  entry.move_to = to;
   entry.claim_order = next_claim_++;
   ++entry.evictions;
   MarkStopping(job, true);
@@ -74,7 +81,10 @@
   std::map<int, resources> left;
   std::vector<std::pair<int, int>> moves;
   for (const int job : jobs) {
-    if (!IsMovable(job)) {
+    if (jobs_[job].need.accelerators == 0) {
+      continue;
+    }
+    if (!IsMovable(job) || jobs_[job].workers.size() > 1) {
       return std::nullopt;
     }
     const resources& need = jobs_[job].need;
@@ -135,7 +145,7 @@
       continue;
     }
     for (const auto& [job, to] : *moves) {
-      Move(job, to);
+      Move(job, {to});
     }
     return true;
   }
@@ -154,117 +164,190 @@
   return (asked > 0 ? useful / asked : 0) + kSpreadWeight * free * free;
 }
 
-// Moves the loan whose move into another gap makes the two gaps most useful,
-// if it pays.
-bool planner::impl::FillOneGap() {
-  std::map<int, std::vector<int>> gaps;  // Two workers by free accelerators.
+// Partly free workers that drain for no one, by free accelerators.
+std::map<int, std::vector<int>> planner::impl::FindGaps() const {
+  std::map<int, std::vector<int>> gaps;
   for (int worker = 0; worker < workers_.size(); ++worker) {
     const worker_state& state = workers_[worker];
     const int free = state.Free().accelerators;
-    const bool gap = state.usable && free > 0 && !state.IsWhole() &&
-                     reserved_on_[static_cast<std::size_t>(worker)] == 0;
-    if (gap && gaps[free].size() < 2) {
+    if (state.usable && free > 0 && !state.IsWhole() &&
+        reserved_on_[static_cast<std::size_t>(worker)] == 0) {
       gaps[free].push_back(worker);
     }
   }
-  const victim_search victims = Victims();
-  double best_gain = 0;
-  int best_job = -1;
-  int best_target = -1;
-  const auto consider = [&](int source, int job, int target) {
-    const job_entry& entry = jobs_[job];
-    if (target == source || !workers_[target].Free().Holds(entry.need)) {
-      return;
-    }
-    const int from = workers_[source].Free().accelerators;
-    const int to = workers_[target].Free().accelerators;
-    const int size = entry.need.accelerators;
-    const double gain =
-        compact_worth_ * (GapValue(from + size) + GapValue(to - size) -
-                          GapValue(from) - GapValue(to)) -
-        victims.Loss(job);
-    if (gain > best_gain) {
-      best_gain = gain;
-      best_job = job;
-      best_target = target;
-    }
-  };
+  return gaps;
+}
+
+// What is gained by moving `job` from one gap into another, in accelerator
+// seconds.
+double planner::impl::MoveGain(int job, int source, int target) const {
+  const int from = workers_[source].Free().accelerators;
+  const int to = workers_[target].Free().accelerators;
+  const int size = jobs_[job].need.accelerators;
+  const double useful = GapValue(from + size) + GapValue(to - size) -
+                        GapValue(from) - GapValue(to);
+  return compact_worth_ * useful - Victims().Loss(job);
+}
+
+// Every move of a loan into another gap that pays. Looks at one gap of each
+// size for each loan.
+std::vector<planner::impl::gap_move> planner::impl::FindGapMoves() const {
+  const std::map<int, std::vector<int>> gaps = FindGaps();
+  std::vector<gap_move> moves;
   for (int source = 0; source < workers_.size(); ++source) {
     const worker_state& state = workers_[source];
     if (!state.usable || state.Free().accelerators <= 0) {
       continue;
     }
     for (const int job : state.occupants) {
-      if (!IsMovable(job) || jobs_[job].need.accelerators == 0) {
+      const int size = jobs_[job].need.accelerators;
+      if (size == 0 || !IsMovable(job) || jobs_[job].workers.size() > 1) {
         continue;
       }
-      for (const auto& [free, targets] : gaps) {
-        for (const int target : targets) {
-          consider(source, job, target);
+      for (auto it = gaps.lower_bound(size); it != gaps.end(); ++it) {
+        const std::size_t pick =
+            static_cast<std::size_t>(source) % it->second.size();
+        const int target = it->second[pick];
+        const bool fits =
+            target != source && workers_[target].Free().Holds(jobs_[job].need);
+        const double gain = fits ? MoveGain(job, source, target) : 0;
+        if (gain > 0) {
+          moves.push_back({gain, job, source, target});
         }
       }
     }
   }
-  if (best_job < 0) {
-    return false;
-  }
-  Move(best_job, best_target);
-  return true;
+  return moves;
 }
 
-// Moves a loan that fills a worker from the rack with more whole free workers
-// to the one with fewer.
-bool planner::impl::GatherWholeWorkers() {
-  std::vector<int> whole(workers_.Racks().size(), 0);
-  for (int worker = 0; worker < workers_.size(); ++worker) {
-    const worker_state& state = workers_[worker];
-    if (state.rack >= 0 && state.IsWhole()) {
-      ++whole[static_cast<std::size_t>(state.rack)];
+// Makes the best of these moves, at most `most`, each on workers of its own.
+int planner::impl::FillGaps(int most) {
+  std::vector<gap_move> moves = FindGapMoves();
+  std::sort(moves.begin(), moves.end(), std::greater<>());
+  std::set<int> touched;
+  int made = 0;
+  for (const gap_move& move : moves) {
+    if (made >= most) {
+      break;
     }
+    if (touched.contains(move.source) || touched.contains(move.target)) {
+      continue;
+    }
+    touched.insert(move.source);
+    touched.insert(move.target);
+    Move(move.job, {move.target});
+    ++made;
   }
-  int target = -1;
-  int fewest = 0;
+  return made;
+}
+
+// Whole free workers of a rack that some gang can use, weighted by what is
+// asked for in each size, in accelerators.
+double planner::impl::RackValue(int whole, int accelerators) const {
+  double useful = 0;
+  for (const auto& [workers, seconds] : gang_demand_) {
+    useful += seconds * (whole / workers) * workers;
+  }
+  double asked = 0;
+  for (const auto& [size, seconds] : demand_) {
+    asked += seconds;
+  }
+  return accelerators *
+         ((asked > 0 ? useful / asked : 0) + kSpreadWeight * whole * whole);
+}
+
+// The rack of a loan that fills all its workers, or -1.
+int planner::impl::FilledRack(int job) const {
+  const job_entry& entry = jobs_[job];
+  const int rack = workers_[entry.workers.front()].rack;
+  const bool fills =
+      std::all_of(entry.workers.begin(), entry.workers.end(), [&](int worker) {
+        const worker_state& state = workers_[worker];
+        return state.usable && state.rack == rack &&
+               entry.need.accelerators == state.capacity.accelerators;
+      });
+  return fills ? rack : -1;
+}
+
+// Whole free workers that drain for no one, by rack.
+std::vector<std::vector<int>> planner::impl::WholeByRack() const {
+  std::vector<std::vector<int>> whole(workers_.Racks().size());
   for (int worker = 0; worker < workers_.size(); ++worker) {
     const worker_state& state = workers_[worker];
-    if (!state.IsWhole() ||
-        reserved_on_[static_cast<std::size_t>(worker)] != 0) {
-      continue;
-    }
-    const int count = whole[static_cast<std::size_t>(state.rack)];
-    if (target < 0 || count < fewest) {
-      target = worker;
-      fewest = count;
+    if (state.rack >= 0 && state.IsWhole() &&
+        reserved_on_[static_cast<std::size_t>(worker)] == 0) {
+      whole[static_cast<std::size_t>(state.rack)].push_back(worker);
     }
   }
-  if (target < 0) {
-    return false;
+  return whole;
+}
+
+// Every move of a loan of whole workers into another rack that pays. Looks at
+// one rack of each number of whole free workers for each loan.
+std::vector<planner::impl::gap_move> planner::impl::FindRackMoves(
+    const std::vector<std::vector<int>>& whole) const {
+  std::map<int, std::vector<int>> by_count;
+  for (std::size_t rack = 0; rack < whole.size(); ++rack) {
+    by_count[static_cast<int>(whole[rack].size())].push_back(
+        static_cast<int>(rack));
   }
-  int moved = -1;
-  int most = fewest - 1;
+  std::vector<gap_move> moves;
   const victim_search victims = Victims();
-  for (int worker = 0; worker < workers_.size(); ++worker) {
-    const worker_state& state = workers_[worker];
-    if (!state.usable || state.rack == workers_[target].rack ||
-        state.occupants.size() != 1 || !IsMovable(state.occupants.front())) {
+  for (const auto& [id, job] : jobs_.Index()) {
+    const int source = IsMovable(job) ? FilledRack(job) : -1;
+    if (source < 0) {
       continue;
     }
-    const int job = state.occupants.front();
-    const int count = whole[static_cast<std::size_t>(state.rack)];
-    const bool fills =
-        jobs_[job].need.accelerators == state.capacity.accelerators;
-    const bool pays = victims.Loss(job) <= kGatheredPart * compact_worth_ *
-                                               state.capacity.accelerators;
-    if (fills && pays && count > most &&
-        workers_[target].Free().Holds(jobs_[job].need)) {
-      most = count;
-      moved = job;
+    const int size = static_cast<int>(jobs_[job].workers.size());
+    const int each = jobs_[job].need.accelerators;
+    const int from =
+        static_cast<int>(whole[static_cast<std::size_t>(source)].size());
+    const double loss = victims.Loss(job);
+    for (auto it = by_count.lower_bound(size); it != by_count.end(); ++it) {
+      const std::size_t pick =
+          static_cast<std::size_t>(source) % it->second.size();
+      const int target = it->second[pick];
+      const double useful = RackValue(from + size, each) +
+                            RackValue(it->first - size, each) -
+                            RackValue(from, each) - RackValue(it->first, each);
+      const double gain = compact_worth_ * useful - loss;
+      if (target != source && gain > 0) {
+        moves.push_back({gain, job, source, target});
+      }
     }
   }
-  if (moved < 0) {
-    return false;
+  return moves;
+}
+
+// Makes the best of these moves, at most `most`, each on racks of its own.
+int planner::impl::GatherWholeWorkers(int most) {
+  const std::vector<std::vector<int>> whole = WholeByRack();
+  std::vector<gap_move> moves = FindRackMoves(whole);
+  std::sort(moves.begin(), moves.end(), std::greater<>());
+  std::set<int> touched;
+  int made = 0;
+  for (const gap_move& move : moves) {
+    if (made >= most) {
+      break;
+    }
+    const std::vector<int>& free = whole[static_cast<std::size_t>(move.target)];
+    std::vector<int> to;
+    for (const int worker : free) {
+      if (to.size() < jobs_[move.job].workers.size() &&
+          workers_[worker].Free().Holds(jobs_[move.job].need)) {
+        to.push_back(worker);
+      }
+    }
+    if (to.size() < jobs_[move.job].workers.size() ||
+        touched.contains(move.source) || touched.contains(move.target)) {
+      continue;
+    }
+    touched.insert(move.source);
+    touched.insert(move.target);
+    Move(move.job, to);
+    ++made;
   }
-  Move(moved, target);
-  return true;
+  return made;
 }
 
 }  // namespace sassafras
--- a/src/job/planner_decide.cc
+++ b/src/job/planner_decide.cc
@@ -255,7 +255,7 @@
     if (!is_free(worker)) {
       return std::nullopt;
     }
-    return gathers ? 1 - workers_.FixedShare(worker) : 0;
+    return gathers ? 1 - workers_.FixedShare(worker, need) : 0;
   };
   const group_order order = policy_ == planner_policy::kFirstFit
                                 ? group_order::kFirst
--- a/src/job/planner_guarantee.cc
+++ b/src/job/planner_guarantee.cc
@@ -72,7 +72,7 @@
     return std::nullopt;
   }
   const bool drains = reserved_on_[static_cast<std::size_t>(worker)] != 0;
-  return *lost + 1 - workers_.FixedShare(worker) +
+  return *lost + 1 - workers_.FixedShare(worker, need) +
          (drains ? kDrainCost * need.accelerators : 0);
 }
 
--- a/src/job/planner_impl.h
+++ b/src/job/planner_impl.h
@@ -83,6 +83,16 @@
     double cost = 0;
   };
 
+  // A loan that would go from one gap into another.
+  struct gap_move {
+    double gain = 0;  // Accelerator seconds.
+    int job = -1;
+    int source = -1;
+    int target = -1;
+
+    auto operator<=>(const gap_move&) const = default;
+  };
+
   // planner_state.cc
   void Resolve(job_entry& entry) const;
   void LoadTeams();
@@ -153,12 +163,20 @@
   void Compact();
   bool IsMovable(int job) const;
   bool VacateOneWorker();
-  bool FillOneGap();
+  std::map<int, std::vector<int>> FindGaps() const;
+  double MoveGain(int job, int source, int target) const;
+  std::vector<gap_move> FindGapMoves() const;
+  int FillGaps(int most);
   double GapValue(int free) const;
-  bool GatherWholeWorkers();
+  double RackValue(int whole, int accelerators) const;
+  int FilledRack(int job) const;
+  std::vector<std::vector<int>> WholeByRack() const;
+  std::vector<gap_move> FindRackMoves(
+      const std::vector<std::vector<int>>& whole) const;
+  int GatherWholeWorkers(int most);
   std::optional<std::vector<std::pair<int, int>>> PlanVacating(
       int source) const;
-  void Move(int job, int to);
+  void Move(int job, const std::vector<int>& to);
 
   // planner_explain.cc
   std::string DescribeNeed(const shape& wanted) const;
@@ -179,6 +197,7 @@
   run_estimates estimates_;
   std::uint64_t next_sequence_ = 0;
   std::uint64_t next_claim_ = 0;
+  std::map<int, double> gang_demand_;  // The same by workers in a rack.
   std::map<int, double> demand_;  // Accelerator seconds by size per worker.
 
   std::set<int> claiming_;
--- a/src/job/planner_state.cc
+++ b/src/job/planner_state.cc
@@ -267,6 +267,11 @@
         static_cast<double>(job.declared_run.count()) *
         entry.wanted->TotalAccelerators();
   }
+  if (entry.wanted->level == shape_level::kRack) {
+    gang_demand_[entry.wanted->workers] +=
+        static_cast<double>(job.declared_run.count()) *
+        entry.wanted->TotalAccelerators();
+  }
   jobs_.Enqueue(jobs_.Insert(std::move(entry)));
   return std::nullopt;
 }
