Keep draining gangs from being held up by late jobs and guarantees

Cause: a reservation's time moved on with every job that outran its estimate, and each move let others in; guarantees took draining workers rather than evict a dear loan. Change: the time of a reservation only moves forward to now, and a draining worker costs 2000 s an accelerator in a choice for a guarantee.

--- a/src/job/planner_compact.cc
+++ b/src/job/planner_compact.cc
@@ -158,7 +158,8 @@
   double useful = 0;
   double asked = 0;
   for (const auto& [size, seconds] : demand_) {
-    useful += seconds * (free / size) * size;
+    const int used = free / size * size;
+    useful += seconds * used;
     asked += seconds;
   }
   return (asked > 0 ? useful / asked : 0) + kSpreadWeight * free * free;
@@ -246,7 +247,8 @@
 double planner::impl::RackValue(int whole, int accelerators) const {
   double useful = 0;
   for (const auto& [workers, seconds] : gang_demand_) {
-    useful += seconds * (whole / workers) * workers;
+    const int used = whole / workers * workers;
+    useful += seconds * used;
   }
   double asked = 0;
   for (const auto& [size, seconds] : demand_) {
--- a/src/job/planner_drain.cc
+++ b/src/job/planner_drain.cc
@@ -175,12 +175,12 @@
 }
 
 // A gang keeps its workers while they are usable, so that what was drained is
-// not given up again.
+// not given up again. Jobs that outrun their estimates do not let others in.
 void planner::impl::KeepReservations(const reservation_input& input) {
   for (std::size_t i = reservations_.size(); i-- > 0;) {
     const std::optional<instant> ready = ReadyTime(input, reservations_[i]);
     if (ready && !IsBaseline()) {
-      reservations_[i].ready = *ready;
+      reservations_[i].ready = std::min(reservations_[i].ready, *ready);
     } else {
       DropReservation(i);
     }
--- a/src/job/planner_guarantee.cc
+++ b/src/job/planner_guarantee.cc
@@ -8,7 +8,7 @@
 
 // Cost of an accelerator that drains for a large gang, in seconds, so that a
 // guarantee moves a loan elsewhere rather than hold up the gang.
-constexpr double kDrainCost = 240;
+constexpr double kDrainCost = 2'000;
 
 constexpr int kDrainRank = 1 << 20;
 
