--- a/include/sassafras/job/job_core.h
+++ b/include/sassafras/job/job_core.h
@@ -18,13 +18,15 @@
 struct job_core_options {
   planner_options planner;
   worker_health_options health;
-  duration first_lease{10'000'000};      ///< Of held tasks; never renewed.
-  duration lease{30'000'000};            ///< Of running tasks.
-  duration lease_margin{2'000'000};      ///< For delays and clock rates.
-  duration renew_interval{2'000'000};    ///< Between renewals to a worker.
-  duration list_interval{10'000'000};    ///< Between lists of idle workers.
-  duration resend_interval{1'000'000};   ///< Of an unanswered task call.
-  duration marker_interval{500'000};     ///< Between scans of markers.
+  duration first_lease{10'000'000};    ///< Of held tasks; never renewed.
+  duration lease{30'000'000};          ///< Of running tasks.
+  duration lease_margin{2'000'000};    ///< For delays and clock rates.
+  duration renew_interval{2'000'000};  ///< Least between two to a worker.
+  int renewals_per_second = 200;       ///< Greatest number of calls.
+  duration list_interval{10'000'000};  ///< Between lists of an idle worker.
+  duration busy_list_interval{60'000'000};  ///< If its tasks are renewed.
+  duration resend_interval{1'000'000};      ///< Of an unanswered task call.
+  duration marker_interval{500'000};        ///< Between scans of markers.
   duration standby_scan{10'000'000};     ///< Between scans while not the owner.
   duration longest_outage{900'000'000};  ///< Renewals without the store.
   std::size_t scan_limit = 500;          ///< Rows of one scan.
--- a/src/job/job_core.cc
+++ b/src/job/job_core.cc
@@ -258,6 +258,16 @@
   }
 }
 
+// Grows with the number of workers, so that the calls of a second are bounded,
+// but leaves time for three renewals in a lease.
+duration job_core::impl::RenewInterval() const {
+  const duration bounded = std::chrono::seconds(1) *
+                           static_cast<std::int64_t>(renewals_.Workers()) /
+                           options_.renewals_per_second;
+  return std::clamp(bounded, options_.renew_interval,
+                    std::max(options_.renew_interval, options_.lease / 3));
+}
+
 void job_core::impl::SendRenewals() {
   // What was read too long ago may have been stopped by an owner that still
   // has the store.
@@ -271,7 +281,7 @@
     return;
   }
   for (renew_tasks& call :
-       renewals_.Due(now_, options_.renew_interval, options_.lease)) {
+       renewals_.Due(now_, RenewInterval(), options_.lease)) {
     if (mode_ == mode::kOwner) {
       for (const job_id& id : renewals_.JobsOn(call.worker)) {
         NoteRenewal(jobs_.at(id), call.worker, now_, options_);
--- a/src/job/job_core_impl.h
+++ b/src/job/job_core_impl.h
@@ -59,6 +59,7 @@
   void ApplyStart(const planned_start& start);
   void ApplyStop(const planned_stop& stop);
   void ExplainSome();
+  duration RenewInterval() const;
   void SendRenewals();
   void FlushWrites();
 
--- a/src/job/job_workers.cc
+++ b/src/job/job_workers.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "sassafras/core/invariant.h"
@@ -40,7 +41,8 @@
   for (const auto& [id, worker] : config_->objects.workers) {
     instant& next = next_list_[id];
     if (now_ >= next) {
-      next = now_ + options_.list_interval;
+      next = now_ + (renewals_.Has(id) ? options_.busy_list_interval
+                                       : options_.list_interval);
       actions_.emplace_back(list_tasks{id, worker.address, now_});
     }
   }
@@ -164,6 +166,9 @@
   health_.OnAnswer(event.worker, is_answered);
   if (!is_answered) {
     counters_.Add("job_renewal_unanswered");
+    // Its list is needed before it is used again.
+    instant& next = next_list_[event.worker];
+    next = std::min(next, now_ + kSoonAgain);
     for (const job_id& id : renewals_.JobsOn(event.worker)) {
       Drive(jobs_.at(id));
     }
--- a/src/job/renewal_table.cc
+++ b/src/job/renewal_table.cc
@@ -1,6 +1,15 @@
 #include "src/job/renewal_table.h"
 
+#include <algorithm>
+
 namespace sassafras::job {
+namespace {
+
+// Of many workers that are due at once, only a part is called at once.
+constexpr std::size_t kLeastCalls = 64;
+constexpr std::size_t kSpread = 10;
+
+}  // namespace
 
 void renewal_table::Add(const job_row& row) {
   for (std::size_t i = 0; i < row.placement.size(); ++i) {
@@ -31,7 +40,11 @@
                                             duration interval,
                                             duration lease) {
   std::vector<renew_tasks> calls;
+  const std::size_t most = std::max(kLeastCalls, workers_.size() / kSpread);
   for (auto& [worker, known] : workers_) {
+    if (calls.size() == most) {
+      break;
+    }
     if (known.is_in_flight || now < known.next) {
       continue;
     }
--- a/src/job/renewal_table.h
+++ b/src/job/renewal_table.h
@@ -25,8 +25,8 @@
   /// Removes everything.
   void Clear() { workers_.clear(); }
 
-  /// Returns the calls that are due. A worker whose call is unanswered is
-  /// passed over.
+  /// Returns calls that are due, a bounded part of all at once. A worker whose
+  /// call is unanswered is passed over.
   std::vector<renew_tasks> Due(instant now, duration interval, duration lease);
 
   /// Notes that the call to `worker` was answered, in whatever way.
@@ -35,6 +35,9 @@
   /// Jobs with tasks on `worker`.
   std::set<job_id> JobsOn(const worker_id& worker) const;
 
+  /// Number of workers with tasks to renew.
+  std::size_t Workers() const { return workers_.size(); }
+
   /// Whether the worker has tasks to renew.
   bool Has(const worker_id& worker) const { return workers_.count(worker) > 0; }
 
