--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -394,6 +394,10 @@
       });
 }
 
+void node::RequestStop() {
+  asio::post(context_, [this] { Stop(); });
+}
+
 void node::Stop() {
   if (stopping_.exchange(true)) {
     return;
--- a/programs/shell/node.h
+++ b/programs/shell/node.h
@@ -60,6 +60,9 @@
   /// code.
   int Run(hooks program);
 
+  /// Begins a graceful stop, as SIGTERM does. From any thread, in Run().
+  void RequestStop();
+
   /// Calls `action` every `interval` from a thread of the pool, from Run() on.
   void Every(duration interval, std::function<void()> action);
 
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -187,24 +187,25 @@
   options.max_body_bytes = 100;
   options.read_timeout = std::chrono::milliseconds(200);
   echo_server server(options);
+  std::string expected_counter;
 
   SECTION("malformed HTTP is answered with its kind") {
     raw_caller caller(server.Port());
     caller.Write("NONSENSE\r\n\r\n");
     CHECK(caller.ReadAll().find("\"malformed\"") != std::string::npos);
-    CHECK(server.Counters().Get("refused_malformed") == 1);
+    expected_counter = "refused_malformed";
   }
   SECTION("an oversized body is answered with its kind") {
     raw_caller caller(server.Port());
     caller.Write("POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 101\r\n\r\n");
     CHECK(caller.ReadAll().find("\"too_large\"") != std::string::npos);
-    CHECK(server.Counters().Get("refused_too_large") == 1);
+    expected_counter = "refused_too_large";
   }
   SECTION("a caller that sends too slowly is counted and closed") {
     raw_caller caller(server.Port());
     caller.Write("POST / HTTP/1.1\r\n");
     CHECK(caller.ReadAll().empty());
-    CHECK(server.Counters().Get("refused_too_slow") == 1);
+    expected_counter = "refused_too_slow";
   }
   SECTION("a truncated request is dropped") {
     raw_caller caller(server.Port());
@@ -216,6 +217,11 @@
   const http_answer answer = client.Post(server.Address(), "still here");
   CHECK(answer.state == answer_state::kDone);
   CHECK(answer.response.body == "still here");
+  // Read only now: the server counts after it has closed the connection, but
+  // before it answers the next caller on its one thread.
+  if (!expected_counter.empty()) {
+    CHECK(server.Counters().Get(expected_counter) == 1);
+  }
 }
 
 TEST_CASE("Requests of one connection are answered in order and once") {
