--- a/bench/policy_run.cc
+++ b/bench/policy_run.cc
@@ -67,11 +67,11 @@
  public:
   policy_world(const policy_site& site,
                const std::vector<offered_job>& load,
-               planner_policy policy,
+               const planner_options& options,
                std::uint64_t seed)
       : site_(site),
         load_(load),
-        planner_({policy}, counters_),
+        planner_(options, counters_),
         random_(seed),
         gangs_(load.size()),
         map_(site.config->objects) {
@@ -267,8 +267,7 @@
     if (now_ >= instant(site_.length)) {
       return;
     }
-    // The first tenth fills the empty site.
-    if (now_ >= instant(site_.length / 10)) {
+    if (now_ >= instant(site_.warm_up)) {
       ++samples_;
       trace_.use += map_.Use();
       for (const auto& [id, value] : map_.Fragmentation()) {
@@ -321,9 +320,9 @@
 
 policy_trace RunPolicy(const policy_site& site,
                        const std::vector<offered_job>& load,
-                       planner_policy policy,
+                       const planner_options& options,
                        std::uint64_t seed) {
-  return policy_world(site, load, policy, seed).Run();
+  return policy_world(site, load, options, seed).Run();
 }
 
 }  // namespace sassafras
