Take live gateways from membership; count what a stop would cut

Cause: until now every gateway of the settings counted as alive and without the start of its process, so that no slot could be lent between real gateways and a dead gateway kept its slots. Change: members of the role gateway, named by id and start, every half second; tokens of claims carry the process's id, as two may start in one microsecond; stop_cut_requests counts requests that are open at the deadline of a stop.

--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -4,7 +4,6 @@
 #include <charconv>
 #include <optional>
 #include <random>
-#include <sstream>
 
 #include "programs/gateway/request_codec.h"
 #include "sassafras/core/digest.h"
@@ -13,14 +12,23 @@
 namespace {
 
 constexpr duration kMembersInterval = std::chrono::milliseconds(500);
+// Requests that are open so long before the deadline of a stop are cut by it.
+constexpr duration kCutCountLead = std::chrono::milliseconds(50);
 constexpr duration kLeavingInterval = std::chrono::seconds(1);
 constexpr std::string_view kMinionPath = "/v1/requests/";
 
-std::string MakeIncarnation() {
-  std::random_device source;
-  std::ostringstream text;
-  text << std::hex << source() << source();
-  return text.str();
+gateway_member ToGateway(const member& item) {
+  return {item.id, std::to_string(item.start)};
+}
+
+// This start of this process, as membership tells it to others.
+gateway_member SelfOf(const node& owner) {
+  for (const member& item : owner.Members()) {
+    if (item.id == owner.Settings().id) {
+      return ToGateway(item);
+    }
+  }
+  return {owner.Settings().id, {}};
 }
 
 bool IsGateway(const peer_settings& peer) {
@@ -60,7 +68,7 @@
 
 request_service::request_service(node& owner)
     : node_(owner),
-      self_{owner.Settings().id, MakeIncarnation()},
+      self_(SelfOf(owner)),
       random_(std::random_device{}()),
       core_(MakeOptions(owner.Settings(), self_), owner.Counters()) {
   RefreshMembers();
@@ -308,16 +316,21 @@
     const std::lock_guard lock(mutex_);
     on_stopped_ = std::move(done);
   }
+  const duration deadline = node_.Settings().drain_deadline;
+  node_.After(std::max(duration(0), deadline - kCutCountLead), [this] {
+    const std::lock_guard lock(mutex_);
+    const int cut = core_.Load().open;
+    node_.Counters().Add("stop_cut_requests", static_cast<std::uint64_t>(cut));
+  });
   Give(stop_requested{});
 }
 
-// Until membership is known, every gateway of the settings counts as alive.
 void request_service::RefreshMembers() {
   members_changed event;
-  event.gateways.push_back(self_);
-  for (const peer_settings& peer : node_.Settings().peers) {
-    if (IsGateway(peer) && peer.id != self_.id) {
-      event.gateways.push_back({peer.id, {}});
+  const std::string_view role = GetName(process_role::kGateway);
+  for (const member& item : node_.Members()) {
+    if (item.role == role) {
+      event.gateways.push_back(ToGateway(item));
     }
   }
   Give(event);
--- a/src/request/request_claims.cc
+++ b/src/request/request_claims.cc
@@ -159,8 +159,8 @@
   entry.claim.class_name = entry.class_name;
   entry.claim.holder = options_.self;
   entry.claim.object.clear();
-  entry.claim.token =
-      options_.self.incarnation + "." + std::to_string(next_token_++);
+  entry.claim.token = options_.self.id.value + "." + options_.self.incarnation +
+                      "." + std::to_string(next_token_++);
   WriteClaim(entry, claim_state::kClaimed);
   entry.phase = request_phase::kClaiming;
   SetWake(entry, std::min(entry.deadline, now_ + kSlotHold));
