--- a/programs/gateway/request_codec.cc
+++ b/programs/gateway/request_codec.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "sassafras/platform/peer_codec.h"
+
 namespace sassafras {
 namespace {
 
@@ -44,17 +46,16 @@
   for (const minion_id& minion : message.lent) {
     lent.push_back(minion.value);
   }
-  return ToBytes({{"cluster", cluster},
-                  {"kind", kSlotMessageKind},
-                  {"target", message.target.value},
-                  {"from", message.from.id.value},
-                  {"incarnation", message.from.incarnation},
-                  {"to", message.to_incarnation},
-                  {"number", message.number},
-                  {"seen", message.seen},
-                  {"wanted", message.wanted},
-                  {"held", message.held},
-                  {"lent", std::move(lent)}});
+  return EncodePeerMessage(cluster, kSlotMessageKind,
+                           {{"target", message.target.value},
+                            {"from", message.from.id.value},
+                            {"incarnation", message.from.incarnation},
+                            {"to", message.to_incarnation},
+                            {"number", message.number},
+                            {"seen", message.seen},
+                            {"wanted", message.wanted},
+                            {"held", message.held},
+                            {"lent", std::move(lent)}});
 }
 
 std::optional<slot_message> DecodeSlotMessage(const std::string& body) {
--- a/programs/gateway/request_codec.h
+++ b/programs/gateway/request_codec.h
@@ -18,7 +18,7 @@
 /// Returns empty for a damaged value or a later format.
 std::optional<minion_answer> DecodeStoredAnswer(const std::string& value);
 
-/// A slot message as it goes to a peer of `cluster` (MessagePack).
+/// A slot message as it goes to a peer of `cluster`.
 std::string EncodeSlotMessage(const slot_message& message,
                               const std::string& cluster);
 
