--- a/programs/gateway/request_codec.h
+++ b/include/sassafras/request/request_codec.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
-#define SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
+#ifndef SASSAFRAS_REQUEST_REQUEST_CODEC_H_
+#define SASSAFRAS_REQUEST_REQUEST_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -27,4 +27,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
+#endif  // SASSAFRAS_REQUEST_REQUEST_CODEC_H_
--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -5,8 +5,8 @@
 #include <optional>
 #include <random>
 
-#include "programs/gateway/request_codec.h"
 #include "sassafras/core/digest.h"
+#include "sassafras/request/request_codec.h"
 
 namespace sassafras {
 namespace {
--- a/programs/gateway/request_codec.cc
+++ b/src/request/request_codec.cc
@@ -1,4 +1,4 @@
-#include "programs/gateway/request_codec.h"
+#include "sassafras/request/request_codec.h"
 
 #include <nlohmann/json.hpp>
 
