--- a/src/request/request_core_impl.h
+++ b/src/request/request_core_impl.h
@@ -41,7 +41,7 @@
   minion_id minion;
   class_id class_name;
   instant started;
-  std::optional<send_verdict> abandoned;  ///< Set if nobody waits for it.
+  bool is_abandoned = false;  ///< Nobody waits for it.
 };
 
 /// One request that is not yet ended.
@@ -96,6 +96,7 @@
   service_time service;  ///< Over all classes.
   bool is_leaving = false;
   bool has_urgent = false;
+  int wanted = 0;  ///< Slots to ask of other gateways.
 };
 
 class request_core::impl {
@@ -149,11 +150,13 @@
                const job_class& definition,
                int free,
                int slots) const;
+  static int Headroom(const target_state& owner, int slots);
   void Send(request_entry& entry, const minion_id& minion);
   void Hedge(request_entry& entry);
   duration HedgeDelay(const request_entry& entry);
   std::optional<minion_id> ChooseMinion(const request_entry& entry);
   void ReleaseSlot(const live_send& send, send_verdict verdict);
+  void ReleaseLater(const live_send& send);
   void ReleaseReserved(request_entry& entry);
   void OnIdempotentEnded(request_entry& entry, const send_ended& event);
   void OnClaimedEnded(request_entry& entry, const send_ended& event);
