--- a/src/job/planner_impl.h
+++ b/src/job/planner_impl.h
@@ -32,7 +32,8 @@
   kLarger,  ///< Those of a larger shape: if nothing is free to borrow.
 };
 
-/// State of the planner. planner_state.cc keeps the tables, planner_decide.cc
+/// State of the planner. planner_state.cc keeps the tables, planner_config.cc
+/// carries them over to a new configuration, planner_decide.cc
 /// and planner_guarantee.cc choose, planner_drain.cc keeps reservations,
 /// planner_compact.cc moves loans together, and planner_explain.cc tells why a
 /// job waits.
