--- a/tests/job_core_test.cc
+++ b/tests/job_core_test.cc
@@ -238,6 +238,7 @@
 TEST_CASE("A thousand jobs are cancelled at once") {
   job_world world(MakeJobSite(50));
   std::vector<job_id> jobs;
+  jobs.reserve(1000);
   for (int i = 0; i < 1000; ++i) {
     jobs.push_back(world.Submit(std::to_string(i), "again", "small"));
   }
@@ -289,6 +290,7 @@
 TEST_CASE("A rack is lost with the gangs on it") {
   job_world world(MakeJobSite(16));
   std::vector<job_id> jobs;
+  jobs.reserve(4);
   for (int i = 0; i < 4; ++i) {
     jobs.push_back(world.Submit(std::to_string(i), "again", "four"));
   }
--- a/tests/job_reclaim_test.cc
+++ b/tests/job_reclaim_test.cc
@@ -101,6 +101,7 @@
     worker.work = 60s;
   }
   std::vector<job_id> once;
+  once.reserve(8);
   for (int i = 0; i < 8; ++i) {
     once.push_back(world.Submit(std::to_string(i), "once", "one"));
   }
--- a/tests/job_world.h
+++ b/tests/job_world.h
@@ -154,8 +154,8 @@
     const instant end = now + length;
     while (now < end) {
       now += 100ms;
-      while (!agenda.empty() && agenda.begin()->first <= now) {
-        const auto next = agenda.extract(agenda.begin());
+      while (!agenda_.empty() && agenda_.begin()->first <= now) {
+        const auto next = agenda_.extract(agenda_.begin());
         next.mapped()();
       }
       for (auto& [id, worker] : workers) {
@@ -287,7 +287,7 @@
   }
 
   void Later(int index, job::job_event event) {
-    agenda.emplace(now + kDelay, [this, index, event = std::move(event)] {
+    agenda_.emplace(now + kDelay, [this, index, event = std::move(event)] {
       if (all[index].paused_until > now) {
         all[index].missed.emplace_back(
             [this, index, event] { Send(index, event); });
@@ -379,7 +379,7 @@
     Later(index, job::tasks_listed{list.worker, list.sent, answer});
   }
 
-  std::multimap<instant, std::function<void()>> agenda;
+  std::multimap<instant, std::function<void()>> agenda_;
 };
 
 /// A small site: `count` workers of 8 accelerators in one rack, the shapes
--- a/tests/worker_health_test.cc
+++ b/tests/worker_health_test.cc
@@ -101,6 +101,7 @@
     bad.work = 1s;
   }
   std::vector<job_id> jobs;
+  jobs.reserve(200);
   for (int i = 0; i < 200; ++i) {
     jobs.push_back(world.Submit(std::to_string(i), "again", "one"));
   }
