--- a/src/job/inventory.cc
+++ b/src/job/inventory.cc
@@ -6,6 +6,17 @@
 namespace sassafras {
 namespace {
 
+// Weights of the surroundings of a worker. They add up to less than 1, the
+// least cost of an eviction.
+struct fixed_weights {
+  double worker;
+  double rack;
+  double place;
+};
+
+constexpr fixed_weights kPartWeights = {0.6, 0.2, 0.15};
+constexpr fixed_weights kWholeWeights = {0, 0.35, 0.6};
+
 // Dense indices of names, in order of their first use.
 template <class Id>
 class dense_index {
@@ -82,6 +93,38 @@
   RemoveOne(state.occupants, job);
 }
 
+void inventory::SumFixed() {
+  const auto share = [this](const std::vector<int>& group) {
+    int fixed = 0;
+    int all = 1;
+    for (const int worker : group) {
+      fixed += (*this)[worker].fixed;
+      all += (*this)[worker].capacity.accelerators;
+    }
+    return static_cast<double>(fixed) / all;
+  };
+  rack_fixed_.clear();
+  for (const std::vector<int>& rack : racks_) {
+    rack_fixed_.push_back(share(rack));
+  }
+  place_fixed_.clear();
+  for (const std::vector<int>& place : places_) {
+    place_fixed_.push_back(share(place));
+  }
+}
+
+double inventory::FixedShare(int worker, const resources& need) const {
+  const worker_state& state = (*this)[worker];
+  const double own = static_cast<double>(state.fixed) /
+                     std::max(state.capacity.accelerators, 1);
+  const fixed_weights& weights = need.accelerators < state.capacity.accelerators
+                                     ? kPartWeights
+                                     : kWholeWeights;
+  return weights.worker * own +
+         weights.rack * rack_fixed_[static_cast<std::size_t>(state.rack)] +
+         weights.place * place_fixed_[static_cast<std::size_t>(state.place)];
+}
+
 void inventory::Claim(int worker, int job, const resources& need) {
   worker_state& state = (*this)[worker];
   state.claimed += need;
