Settle every publication by its token, with history, diff and drain

publish wrote one row, reported unknown after a lost answer and left it there, and silently replaced what another operator had published from the same base.

- publication decides from rows and answers: the version row and a history row go into one transaction; a lost answer is settled by the history row of the version tried, which shows this token or rules it out for ever.
- get, history, diff, rollback (as a new version), drain, status, counters.
- Ruled out: judging by the version row alone, which a later publication overwrites.

--- a/programs/ctl/config_commands.cc
+++ b/programs/ctl/config_commands.cc
@@ -1,14 +1,11 @@
 #include <algorithm>
 #include <filesystem>
 #include <iostream>
-#include <random>
 
-#include "programs/ctl/blocking_ports.h"
 #include "programs/ctl/commands.h"
+#include "programs/ctl/config_publish.h"
 #include "programs/shell/command_line.h"
-#include "sassafras/cluster/config_follower.h"
 #include "sassafras/config/config_parse.h"
-#include "sassafras/core/digest.h"
 
 namespace sassafras {
 namespace {
@@ -31,9 +28,10 @@
   return files;
 }
 
-// Reads and checks a set; prints its faults. Empty if there are any.
+// Reads and checks the set of the first argument; prints its faults. Empty if
+// there are any.
 std::vector<source_file> ReadCheckedSources(const ctl_options& options) {
-  if (options.arguments.size() != 1) {
+  if (options.arguments.empty()) {
     std::cerr << "one directory is needed\n";
     return {};
   }
@@ -42,11 +40,7 @@
     std::cerr << options.arguments.front() << ": has no .yaml file\n";
     return {};
   }
-  const parsed_config parsed = ParseConfigSet(files, unknown_keys::kRefuse);
-  for (const config_fault& fault : parsed.faults) {
-    std::cerr << ToString(fault) << '\n';
-  }
-  if (!parsed.faults.empty()) {
+  if (!CheckSources(files)) {
     return {};
   }
   return files;
@@ -60,58 +54,46 @@
   return kExitOk;
 }
 
-std::string NewToken() {
-  std::random_device device;
-  return Sha256Hex(std::to_string(device()) + std::to_string(device()) +
-                   std::to_string(device()) + std::to_string(device()));
+// The value after the argument `name`, empty if it is absent.
+std::string ValueAfter(const ctl_options& options, const std::string& name) {
+  const auto it =
+      std::find(options.arguments.begin(), options.arguments.end(), name);
+  const bool has_value =
+      it != options.arguments.end() && it + 1 != options.arguments.end();
+  return has_value ? *(it + 1) : std::string();
 }
 
 int Publish(const ctl_options& options) {
-  const std::vector<source_file> files = ReadCheckedSources(options);
-  if (files.empty()) {
-    return kExitRefused;
-  }
-  blocking_ports ports(options.platform);
-  const read_answer read = ports.Read({std::string(kConfigRowKey)});
-  if (read.state != answer_state::kDone || read.rows.size() != 1) {
-    std::cerr << "store_unavailable: nothing was published\n";
+  publish_request request;
+  request.files = ReadCheckedSources(options);
+  if (request.files.empty()) {
     return kExitRefused;
   }
-  const table_row& before = read.rows.front();
-  config_row row;
-  row.version = 1;
-  if (before.version != 0) {
-    const auto current = DecodeConfigRow(before.value);
-    if (!current) {
-      std::cerr << "the published row is malformed\n";
-      return kExitRefused;
-    }
-    row.version = current.value().version + 1;
-  }
-  const std::string content = EncodeSources(files);
-  row.sha256 = Sha256Hex(content);
-  row.object = "config-" + row.sha256;
-  row.token = NewToken();
-  if (ports.Put(row.object, content) != answer_state::kDone) {
-    std::cerr << "store_unavailable: nothing was published\n";
-    return kExitRefused;
+  const std::string base = ValueAfter(options, "--base");
+  if (base.find_first_not_of("0123456789") != std::string::npos) {
+    std::cerr << "'" << base << "' is no version\n";
+    return kExitUsage;
   }
-  const commit_answer commit = ports.Commit(
-      {{std::string(kConfigRowKey), before.version, EncodeConfigRow(row)}});
-  if (commit.state == answer_state::kDone) {
-    std::cout << "published version " << row.version << '\n';
-    return kExitOk;
+  if (!base.empty()) {
+    request.base = std::stoull(base);
   }
-  std::cerr << GetErrorInfo(commit.reason).name << ": "
-            << GetErrorInfo(commit.reason).text << '\n';
-  return commit.state == answer_state::kUnknown ? kExitUnknown : kExitRefused;
+  request.resume = ValueAfter(options, "--resume");
+  blocking_ports ports(options.platform);
+  return PublishSources(ports, request);
 }
 
 }  // namespace
 
 std::vector<ctl_command> ConfigCommands() {
-  return {{"check", "DIR: judges an object set offline", Check},
-          {"publish", "DIR: publishes an object set", Publish}};
+  std::vector<ctl_command> commands{
+      {"check", "DIR: judges an object set offline", Check},
+      {"publish",
+       "DIR [--base VERSION] [--resume VERSION-TOKEN]: publishes an object set",
+       Publish}};
+  for (const auto& more : {ConfigVersionCommands(), ConfigStatusCommands()}) {
+    commands.insert(commands.end(), more.begin(), more.end());
+  }
+  return commands;
 }
 
 }  // namespace sassafras
--- /dev/null
+++ b/programs/ctl/config_publish.cc
@@ -0,0 +1,164 @@
+#include "programs/ctl/config_publish.h"
+
+#include <chrono>
+#include <iostream>
+#include <random>
+#include <thread>
+
+#include "sassafras/cluster/publication.h"
+#include "sassafras/config/source_diff.h"
+#include "sassafras/core/digest.h"
+
+namespace sassafras {
+namespace {
+
+constexpr int kMaxAttempts = 10;
+constexpr std::chrono::milliseconds kAttemptInterval{300};
+constexpr std::size_t kTokenLength = 16;
+
+std::string NewToken() {
+  std::random_device device;
+  std::string entropy;
+  for (int i = 0; i < 8; ++i) {
+    entropy += std::to_string(device()) + '.';
+  }
+  return Sha256Hex(entropy).substr(0, kTokenLength);
+}
+
+// Parses "VERSION-TOKEN".
+std::optional<publication> ParseResume(const std::string& text,
+                                       config_row content) {
+  const std::size_t dash = text.find('-');
+  if (dash == std::string::npos || dash == 0 || dash + 1 == text.size() ||
+      text.find_first_not_of("0123456789") != dash) {
+    return std::nullopt;
+  }
+  const std::uint64_t version = std::stoull(text.substr(0, dash));
+  content.token = text.substr(dash + 1);
+  if (version == 0) {
+    return std::nullopt;
+  }
+  return publication::Resume(std::move(content), version);
+}
+
+int ReportConflict(blocking_ports& ports,
+                   const publication& item,
+                   const std::vector<source_file>& files) {
+  std::cerr << "conflict: version " << item.Winner().version
+            << " was published first; nothing of this set was published\n";
+  if (const auto winner = ReadVersionFiles(ports, item.Winner())) {
+    std::cerr << "against it this set changes:\n"
+              << DiffSources(*winner, files);
+  }
+  return kExitRefused;
+}
+
+int Report(blocking_ports& ports,
+           const publication& item,
+           const config_row& content,
+           const std::vector<source_file>& files) {
+  switch (item.State()) {
+    case publish_state::kPublished:
+      std::cout << "published version " << item.Version() << '\n';
+      return kExitOk;
+    case publish_state::kConflict:
+      return ReportConflict(ports, item, files);
+    case publish_state::kNotDone:
+      std::cerr << "store_unavailable: nothing was published\n";
+      return kExitRefused;
+    case publish_state::kOpen:
+    case publish_state::kUnknown:
+      break;
+  }
+  std::cerr << "unknown: it may have been published; to settle it, run again "
+               "with --resume "
+            << item.Version() << '-' << content.token << '\n';
+  return kExitUnknown;
+}
+
+}  // namespace
+
+int PublishSources(blocking_ports& ports, const publish_request& request) {
+  const std::string encoded = EncodeSources(request.files);
+  config_row content;
+  content.sha256 = Sha256Hex(encoded);
+  content.object = "config-" + content.sha256;
+  content.token = NewToken();
+  publication item(content, request.base);
+  if (!request.resume.empty()) {
+    const auto resumed = ParseResume(request.resume, content);
+    if (!resumed) {
+      std::cerr << "'" << request.resume << "' is no VERSION-TOKEN\n";
+      return kExitUsage;
+    }
+    item = *resumed;
+    content.token = request.resume.substr(request.resume.find('-') + 1);
+  }
+  const bool is_stored =
+      ports.Put(content.object, encoded) == answer_state::kDone;
+  if (!is_stored && request.resume.empty()) {
+    std::cerr << "store_unavailable: nothing was published\n";
+    return kExitRefused;
+  }
+  for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+    const auto transaction = item.OnRead(ports.Read(item.KeysToRead()));
+    if (transaction && is_stored) {
+      item.OnCommit(ports.Commit(*transaction));
+    }
+    if (item.State() != publish_state::kOpen &&
+        item.State() != publish_state::kUnknown) {
+      break;
+    }
+    std::this_thread::sleep_for(kAttemptInterval);
+  }
+  return Report(ports, item, content, request.files);
+}
+
+std::optional<config_row> ReadVersion(blocking_ports& ports,
+                                      std::uint64_t version) {
+  const std::string key =
+      version == 0 ? std::string(kConfigRowKey) : ConfigHistoryKey(version);
+  const read_answer answer = ports.Read({key});
+  if (answer.state != answer_state::kDone || answer.rows.size() != 1) {
+    std::cerr << "store_unavailable: the version could not be read\n";
+    return std::nullopt;
+  }
+  if (answer.rows.front().version == 0) {
+    std::cerr << "not_found: no such version\n";
+    return std::nullopt;
+  }
+  const auto row = DecodeConfigRow(answer.rows.front().value);
+  if (!row) {
+    std::cerr << "malformed: the row of the version cannot be read\n";
+    return std::nullopt;
+  }
+  return row.value();
+}
+
+std::optional<std::vector<source_file>> ReadVersionFiles(
+    blocking_ports& ports,
+    const config_row& row) {
+  const object_answer answer = ports.Get(row.object);
+  if (answer.state != answer_state::kDone || !answer.exists ||
+      Sha256Hex(answer.value) != row.sha256) {
+    std::cerr << "store_unavailable: the content of version " << row.version
+              << " could not be read\n";
+    return std::nullopt;
+  }
+  const auto files = DecodeSources(answer.value);
+  if (!files) {
+    std::cerr << files.error().detail << '\n';
+    return std::nullopt;
+  }
+  return files.value();
+}
+
+bool CheckSources(const std::vector<source_file>& files) {
+  const parsed_config parsed = ParseConfigSet(files, unknown_keys::kRefuse);
+  for (const config_fault& fault : parsed.faults) {
+    std::cerr << ToString(fault) << '\n';
+  }
+  return parsed.faults.empty();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/programs/ctl/config_status_commands.cc
@@ -0,0 +1,86 @@
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "programs/ctl/config_publish.h"
+
+namespace sassafras {
+namespace {
+
+struct process_status {
+  std::string address;
+  std::string process;
+  std::uint64_t config_version = 0;
+  std::size_t members = 0;
+  bool answers = false;
+};
+
+process_status ReadStatus(blocking_ports& ports,
+                          const std::string& address,
+                          const std::string& token) {
+  process_status status;
+  status.address = address;
+  http_request request;
+  request.method = "GET";
+  request.path = "/v1/status";
+  request.headers["authorization"] = "Bearer " + token;
+  const http_answer answer = ports.Call(address, std::move(request));
+  const auto body = nlohmann::json::parse(answer.response.body, nullptr, false);
+  if (answer.state != answer_state::kDone || !body.is_object()) {
+    return status;
+  }
+  status.answers = true;
+  status.process = body.value("process", "");
+  status.config_version = body.value("config_version", std::uint64_t{0});
+  status.members = body.value("members", nlohmann::json::array()).size();
+  return status;
+}
+
+int Status(const ctl_options& options) {
+  blocking_ports ports(options.platform);
+  std::vector<process_status> all;
+  std::uint64_t highest = 0;
+  for (const std::string& address : options.gateways) {
+    all.push_back(ReadStatus(ports, address, options.token));
+    highest = std::max(highest, all.back().config_version);
+  }
+  bool is_whole = !all.empty();
+  for (const process_status& status : all) {
+    std::cout << status.address << ' ';
+    if (!status.answers) {
+      std::cout << "no answer\n";
+      is_whole = false;
+      continue;
+    }
+    const bool is_behind = status.config_version < highest;
+    std::cout << status.process << " version " << status.config_version
+              << (is_behind ? " behind" : "") << ", sees " << status.members
+              << " processes\n";
+    is_whole = is_whole && !is_behind;
+  }
+  return is_whole ? kExitOk : kExitRefused;
+}
+
+int Counters(const ctl_options& options) {
+  blocking_ports ports(options.platform);
+  for (const std::string& address : options.gateways) {
+    http_request request;
+    request.method = "GET";
+    request.path = "/metrics";
+    const http_answer answer = ports.Call(address, std::move(request));
+    std::cout << "# " << address
+              << (answer.state == answer_state::kDone ? "" : " no answer")
+              << '\n'
+              << answer.response.body;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+std::vector<ctl_command> ConfigStatusCommands() {
+  return {{"status", ": version of each process and who is behind", Status},
+          {"counters", ": counters of each process", Counters}};
+}
+
+}  // namespace sassafras
