Fetch newer configurations from peers, also while the store is away

Polling alone leaves a process that starts in an outage without any configuration, and a version accepted right before the outage in force only where it was polled in time. Each probe of membership now carries the version in force; a process that sees a greater one asks that peer for the content and adopts it through the same follower, which never goes back.

--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -81,6 +81,7 @@
       minion_client_(
           http_client::Make(context_, ClientOptions(settings_), counters_)),
       follower_(counters_),
+      spread_(counters_),
       random_(std::random_device()()),
       members_({}, SelfOf(settings_), SeedsOf(settings_), counters_),
       members_strand_(asio::make_strand(context_)) {
@@ -171,6 +172,15 @@
     });
     return;
   }
+  if (kind == kConfigGetKind || kind == kConfigContentKind) {
+    try {
+      kind == kConfigGetKind ? AnswerConfig(message.value())
+                             : OnConfigContent(message.value());
+    } catch (const nlohmann::json::exception&) {
+      counters_.Add("peer_message_malformed");
+    }
+    return;
+  }
   if (program_.on_peer) {
     asio::post(context_,
                [this, kind, bytes] { program_.on_peer(kind, bytes); });
@@ -204,6 +214,9 @@
     counters_.Add("peer_bytes_membership", bytes.size());
     peers_.send(send.address, bytes);
   }
+  for (const auto& seen : actions.versions) {
+    AskForConfig(seen);
+  }
   if (actions.is_replaced) {
     LogEvent("process_replaced", {{"id", settings_.id.value}});
   }
@@ -314,24 +327,81 @@
       counters_.Add("config_fetch_failed");
       return;
     }
-    auto loaded = LoadPublishedConfig(row.version, answer.value);
-    if (!loaded) {
-      counters_.AddError(loaded.error().kind);
-      return;
-    }
-    bool is_adopted = false;
-    {
-      const std::lock_guard lock(config_mutex_);
-      is_adopted = follower_.Offer(loaded.value());
-    }
-    if (is_adopted) {
-      LogEvent("config_in_force", {{"version", std::to_string(row.version)}});
-      metrics_.Set("config_version", static_cast<double>(row.version));
-      program_.on_config(loaded.value());
-    }
+    AdoptConfig(row.version, answer.value);
   });
 }
 
+void node::AdoptConfig(std::uint64_t version, const std::string& content) {
+  auto loaded = LoadPublishedConfig(version, content);
+  if (!loaded) {
+    counters_.AddError(loaded.error().kind);
+    return;
+  }
+  bool is_adopted = false;
+  {
+    const std::lock_guard lock(config_mutex_);
+    is_adopted = follower_.Offer(loaded.value());
+  }
+  if (!is_adopted) {
+    return;
+  }
+  const std::uint64_t in_force = Config()->version;
+  {
+    const std::lock_guard lock(members_mutex_);
+    members_.SetConfigVersion(in_force);
+  }
+  LogEvent("config_in_force", {{"version", std::to_string(version)}});
+  metrics_.Set("config_version", static_cast<double>(version));
+  program_.on_config(loaded.value());
+}
+
+// A peer may have a version that the store no longer shows.
+void node::AskForConfig(const member_actions::version_seen& seen) {
+  std::optional<std::string> address;
+  std::uint64_t own = 0;
+  {
+    const std::lock_guard lock(config_mutex_);
+    own = follower_.Current() ? follower_.Current()->version : 0;
+    address =
+        spread_.OnVersionSeen(Now(), seen.address, seen.config_version, own);
+  }
+  if (address) {
+    peers_.send(*address,
+                EncodePeerMessage(
+                    settings_.cluster, kConfigGetKind,
+                    {{"reply_to", settings_.peer_listen}, {"have", own}}));
+  }
+}
+
+void node::AnswerConfig(const peer_message& message) {
+  const std::string reply_to = message.body.value("reply_to", "");
+  const std::uint64_t have = message.body.value("have", std::uint64_t{0});
+  const config_ptr config = Config();
+  if (reply_to.empty() || !config || config->version <= have) {
+    return;
+  }
+  const std::string bytes = EncodePeerMessage(
+      settings_.cluster, kConfigContentKind,
+      {{"config_version", config->version}, {"content", config->content}});
+  counters_.Add("peer_bytes_config", bytes.size());
+  peers_.send(reply_to, bytes);
+}
+
+void node::OnConfigContent(const peer_message& message) {
+  const std::uint64_t version =
+      message.body.value("config_version", std::uint64_t{0});
+  bool is_newer = false;
+  {
+    const std::lock_guard lock(config_mutex_);
+    spread_.OnContent();
+    is_newer = follower_.IsNewer(version);
+  }
+  if (is_newer) {
+    counters_.Add("config_from_peer");
+    AdoptConfig(version, message.body.value("content", ""));
+  }
+}
+
 http_response node::Status() const {
   const config_ptr config = Config();
   nlohmann::json members = nlohmann::json::array();
--- a/programs/shell/node.h
+++ b/programs/shell/node.h
@@ -12,12 +12,14 @@
 #include <vector>
 
 #include "sassafras/cluster/config_follower.h"
+#include "sassafras/cluster/config_spread.h"
 #include "sassafras/cluster/membership.h"
 #include "sassafras/config/settings.h"
 #include "sassafras/core/counter_table.h"
 #include "sassafras/platform/http_adapters.h"
 #include "sassafras/platform/http_server.h"
 #include "sassafras/platform/nng_peers.h"
+#include "sassafras/platform/peer_codec.h"
 #include "sassafras/telemetry/metrics.h"
 
 namespace sassafras {
@@ -89,6 +91,10 @@
  private:
   void PollConfig();
   void FetchConfig(const config_row& row);
+  void AdoptConfig(std::uint64_t version, const std::string& content);
+  void AskForConfig(const member_actions::version_seen& seen);
+  void AnswerConfig(const peer_message& message);
+  void OnConfigContent(const peer_message& message);
   bool Listen();
   void StartMembership();
   void OnPeerBytes(const std::string& bytes);
@@ -120,6 +126,7 @@
   std::atomic<bool> stopping_{false};
   mutable std::mutex config_mutex_;
   config_follower follower_;
+  config_spread spread_;
   mutable std::mutex members_mutex_;
   random_engine random_;
   membership members_;
