--- a/bench/config_virtual_members.h
+++ b/bench/config_virtual_members.h
@@ -21,6 +21,7 @@
     for (int i = 0; i < processes; ++i) {
       views_.emplace_back();
       running_.push_back(false);
+      versions_.push_back(0);
     }
     for (int i = 0; i < processes; ++i) {
       Start(i);
@@ -92,6 +93,17 @@
     views_[Index(viewer)]->OnPlatformHint({IdOf(subject)});
   }
 
+  /// Puts `version` in force at one process, unless it has a newer one.
+  void Adopt(int process, std::uint64_t version) {
+    if (version > versions_[Index(process)]) {
+      versions_[Index(process)] = version;
+      views_[Index(process)]->SetConfigVersion(version);
+    }
+  }
+  std::uint64_t VersionOf(int process) const {
+    return versions_[Index(process)];
+  }
+
   virtual_network network;
 
  private:
@@ -148,6 +160,15 @@
     for (const std::string& address : actions.resets) {
       network.Reset(process, std::stoi(address));
     }
+    for (const auto& seen : actions.versions) {
+      // The question and the answer cross the network once each.
+      if (seen.config_version > versions_[Index(process)]) {
+        network.After(process, 2 * network.latency,
+                      [this, process, version = seen.config_version] {
+                        Adopt(process, version);
+                      });
+      }
+    }
     for (const auto& send : actions.sends) {
       network.Send(process, std::stoi(send.address),
                    EncodeMemberMessage("piwhma", send.message));
@@ -157,6 +178,7 @@
   counter_table counters_;
   std::vector<std::shared_ptr<membership>> views_;
   std::vector<bool> running_;
+  std::vector<std::uint64_t> versions_;
   std::uint64_t last_start_ = 0;
 };
 
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "bench/bench_options.h"
+#include "bench/config_bench.h"
 #include "bench/policy_bench.h"
 
 namespace sassafras {
@@ -24,6 +25,8 @@
 std::vector<bench_command> BenchCommands() {
   return {
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
+      {"config", "configuration, membership and leases, in virtual time",
+       RunConfigBench},
   };
 }
 
