--- a/bench/config_bench.cc
+++ b/bench/config_bench.cc
@@ -1,6 +1,7 @@
 #include "bench/config_bench.h"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 #include "bench/bench_report.h"
@@ -32,7 +33,7 @@
 double Quantile(std::vector<double> values, double part) {
   std::sort(values.begin(), values.end());
   const auto last = static_cast<double>(values.size() - 1);
-  return values[static_cast<std::size_t>(part * last)];
+  return values[static_cast<std::size_t>(std::ceil(part * last))];
 }
 
 bool AllHave(const virtual_members& world, int count, std::uint64_t version) {
