--- a/bench/main.cc
+++ b/bench/main.cc
@@ -7,6 +7,7 @@
 #include "bench/bench_options.h"
 #include "bench/config_bench.h"
 #include "bench/policy_bench.h"
+#include "bench/request_bench.h"
 
 namespace sassafras {
 namespace {
@@ -27,6 +28,7 @@
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
       {"config", "configuration, membership and leases, in virtual time",
        RunConfigBench},
+      {"requests", "request path under overload and faults", RunRequestBench},
   };
 }
 
--- a/src/job/planner_drain.cc
+++ b/src/job/planner_drain.cc
@@ -8,7 +8,7 @@
 
 // Gangs that may drain workers at the same time: one, and one more for each of
 // this many racks. At most as many as a reservation mask has bits.
-constexpr int kRacksPerReservation = 8;
+constexpr int kRacksPerReservation = 2;
 constexpr std::size_t kGreatestReservations = 64;
 // Reservations are planned anew after this time.
 constexpr duration kPlanningPeriod = std::chrono::seconds(10);
@@ -175,12 +175,12 @@
 }
 
 // A gang keeps its workers while they are usable, so that what was drained is
-// not given up again.
+// not given up again. Jobs that outrun their estimates do not let others in.
 void planner::impl::KeepReservations(const reservation_input& input) {
   for (std::size_t i = reservations_.size(); i-- > 0;) {
     const std::optional<instant> ready = ReadyTime(input, reservations_[i]);
     if (ready && !IsBaseline()) {
-      reservations_[i].ready = *ready;
+      reservations_[i].ready = std::min(reservations_[i].ready, *ready);
     } else {
       DropReservation(i);
     }
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -11,9 +11,7 @@
 constexpr int kMaxTries = 4;
 constexpr int kFirstFailureStatus = 400;
 constexpr int kFirstServerStatus = 500;
-constexpr int kHeadroomShare = 32;        // One of so many slots is kept free
-constexpr int kMinSlotsForHeadroom = 20;  // for urgent work, from here on.
-constexpr int kHedgeDeviations = 6;
+constexpr int kHeadroomShare = 64;  // One of so many slots.
 constexpr duration kHedgeMin = std::chrono::milliseconds(20);
 constexpr duration kBackoffBase = std::chrono::milliseconds(10);
 constexpr duration kBackoffMax = std::chrono::seconds(1);
@@ -72,11 +70,12 @@
   if (!definition.idempotent && !may_claim) {
     return false;
   }
-  if (definition.order == urgency::kUrgent || !owner.has_urgent ||
-      slots < kMinSlotsForHeadroom) {
-    return true;
-  }
-  return free > std::max(1, slots / kHeadroomShare);
+  return definition.order == urgency::kUrgent || free > Headroom(owner, slots);
+}
+
+// Slots that only urgent requests may take.
+int request_core::impl::Headroom(const target_state& owner, int slots) {
+  return owner.has_urgent ? slots / kHeadroomShare : 0;
 }
 
 // Gives one free slot to the request that is next. Returns whether there may
@@ -86,7 +85,7 @@
   if (free <= 0) {
     return false;
   }
-  const int slots = owner.pool.Slots(now_);
+  const int slots = free + owner.pool.TotalInWork();
   const auto next = owner.queue.Pop(slots, [&](const job_class& definition) {
     return MayTake(owner, definition, free, slots);
   });
@@ -95,7 +94,8 @@
   }
   request_entry& entry = entries_.at(*next);
   const service_time& service = services_[entry.class_name];
-  if (service.IsKnown() && now_ + service.Mean() / 2 > entry.deadline) {
+  if (service.IsKnown() &&
+      now_ + service.Mean() + service.Deviation() > entry.deadline) {
     owner.queue.Finish(entry.class_name);
     GiveUp(entry, {error_kind::kDeadlineUnreachable, {}});
     return true;
@@ -142,8 +142,7 @@
   entry.tried.insert(minion);
   const send_id id = next_send_++;
   entry.sends.insert(id);
-  sends_[id] = {entry.id,         entry.target, minion,
-                entry.class_name, now_,         std::nullopt};
+  sends_[id] = {entry.id, entry.target, minion, entry.class_name, now_, false};
 
   send_request send;
   send.send = id;
@@ -172,8 +171,7 @@
   if (!entry.is_idempotent || !service.IsKnown()) {
     return entry.deadline - now_;
   }
-  return std::max(kHedgeMin,
-                  service.Mean() + kHedgeDeviations * service.Deviation());
+  return std::max(kHedgeMin, service.Long());
 }
 
 // An answer that is late by far may never come: a second send of idempotent
@@ -207,6 +205,14 @@
   owner.pool.Finish(send.minion, verdict, now_, *random_);
 }
 
+// Without an answer the minion may still be at work.
+void request_core::impl::ReleaseLater(const live_send& send) {
+  target_state& owner = *targets_.at(send.target);
+  owner.queue.Finish(send.class_name);
+  const instant free_at = now_ + services_[send.class_name].Long();
+  owner.pool.FinishLater(send.minion, free_at, now_, *random_);
+}
+
 void request_core::impl::ReleaseReserved(request_entry& entry) {
   if (entry.reserved) {
     target_state& owner = TargetOf(entry);
@@ -228,11 +234,15 @@
   if (event.refused_leaving) {
     owner.pool.NoteRefusal(ended.minion, now_);
   }
-  if (ended.abandoned) {
-    ReleaseSlot(ended, *ended.abandoned);
+  if (event.state == answer_state::kUnknown) {
+    ReleaseLater(ended);
+  } else {
+    ReleaseSlot(ended,
+                ended.is_abandoned ? send_verdict::kNeutral : Judge(event));
+  }
+  if (ended.is_abandoned) {
     return;
   }
-  ReleaseSlot(ended, Judge(event));
   request_entry* entry = &entries_.at(ended.request);
   entry->sends.erase(event.send);
   if (IsSuccess(event)) {
@@ -297,13 +307,15 @@
   SetWake(entry, std::min(entry.deadline, now_ + duration(wait(*random_))));
 }
 
-// Takes the request off its sends. Their slots and connections are free when
-// they have ended.
+// Takes the request off its sends. They are not broken off, since a minion may
+// go on working unseen: their slots are free when they have ended.
 void request_core::impl::AbandonSends(request_entry& entry, bool is_slow) {
   for (const send_id id : entry.sends) {
-    sends_.at(id).abandoned =
-        is_slow ? send_verdict::kSlow : send_verdict::kNeutral;
-    actions_.emplace_back(cancel_send{id});
+    live_send& send = sends_.at(id);
+    send.is_abandoned = true;
+    if (is_slow) {
+      targets_.at(send.target)->pool.NoteBad(send.minion, now_, *random_);
+    }
   }
   entry.sends.clear();
 }
