--- /dev/null
+++ b/tests/soak_jobs.cc
@@ -0,0 +1,4 @@
+#include "tests/soak_driver.h"
+namespace sassafras {
+soak_result SoakJobs(const soak_options&) { return {}; }
+}  // namespace sassafras
--- /dev/null
+++ b/tests/soak_requests.cc
@@ -0,0 +1,545 @@
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "sassafras/core/digest.h"
+#include "sassafras/core/invariant.h"
+#include "sassafras/request/request_core.h"
+#include "tests/soak_driver.h"
+#include "tests/soak_store.h"
+
+namespace sassafras {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr int kGateways = 3;
+constexpr int kMinions = 4;
+constexpr int kSlots = 2;
+constexpr duration kSettling = 30s;  // Of slots, after a change of membership.
+
+enum class minion_mode { kGood, kFails, kSilent, kResets, kRefuses, kLeaving };
+constexpr const char* kModeNames[] = {"good",   "fails",   "silent",
+                                      "resets", "refuses", "leaving"};
+
+struct fake_minion {
+  minion_mode mode = minion_mode::kGood;
+  int in_work = 0;
+};
+
+// One submission of a caller.
+struct caller_request {
+  int gateway = 0;
+  std::string incarnation;
+  std::string key;
+  std::string body;
+  bool was_sent = false;  // Bytes of it may have reached a minion.
+  bool was_not_run = false;
+  bool is_gone = false;
+  int replies = 0;
+};
+
+struct gateway {
+  gateway_member self;
+  std::unique_ptr<request_core> core;  // Empty while it is dead.
+  instant paused_until;
+  bool is_stopping = false;
+  std::optional<instant> wake;
+  std::map<send_id, request_id> sends;  // Open ones.
+  std::map<send_id, std::string> answers;
+  std::map<request_id, std::string> loaded;
+};
+
+class requests_run {
+ public:
+  explicit requests_run(const soak_options& options)
+      : driver_(options), store_(driver_) {
+    SetInvariantHandler(
+        [this](std::string_view name) { driver_.Check(false, name); });
+    Publish();
+    for (int i = 0; i < kGateways; ++i) {
+      Start(i);
+    }
+    driver_.After(1s, [this] { TellMembers(); });
+    driver_.After(2s, [this] { Arrive(); });
+    driver_.After(3s, [this] { BringAboutFailure(); });
+  }
+
+  soak_result Run() {
+    driver_.Run(120s, [this] { Heal(); });
+    CheckEnd();
+    soak_result result = driver_.Result();
+    for (const auto& [name, value] : counters_.Snapshot()) {
+      result.met[name] += value;
+    }
+    return result;
+  }
+
+ private:
+  void Publish() {
+    auto published = std::make_shared<published_config>();
+    published->version = config_ ? config_->version + 1 : 1;
+    config_set& set = published->objects;
+    for (const char* name : {"t1", "t2"}) {
+      set.teams[team_id{name}] = {
+          {name}, 1, {}, {{token_role::kCaller, Sha256Hex(name)}}};
+    }
+    AddClass(set, "check", urgency::kUrgent, true, 2s);
+    AddClass(set, "batch", urgency::kBatch, true, 20s);
+    AddClass(set, "reset", urgency::kNormal, false, 10s);
+    target lab{{"lab"}, false, {}};
+    for (int i = 0; i < kMinions; ++i) {
+      const std::string name = "m" + std::to_string(i);
+      const bool leaves = driver_.IsFaulty() && config_ && driver_.Chance(10);
+      lab.minions.push_back({{name}, name, {"lahore"}, kSlots, 12, leaves});
+    }
+    set.targets[lab.id] = lab;
+    config_ = published;
+    changed_ = driver_.now;
+  }
+
+  static void AddClass(config_set& set,
+                       const char* name,
+                       urgency order,
+                       bool idempotent,
+                       duration timeout) {
+    job_class added{class_id{name}};
+    added.order = order;
+    added.idempotent = idempotent;
+    added.floor_percent = 5;
+    added.target = target_id{"lab"};
+    added.timeout = timeout;
+    added.queue_limit = 20;
+    set.classes[added.id] = added;
+  }
+
+  void Start(int index) {
+    gateway& owner = gateways_[index];
+    owner = gateway();
+    const std::string name = "g" + std::to_string(index);
+    owner.self = {{name}, name + "." + std::to_string(++incarnations_)};
+    owner.core = std::make_unique<request_core>(
+        request_options{owner.self, {"lahore"}, kGateways}, counters_);
+    changed_ = driver_.now;
+    Give(index, config_changed{config_});
+  }
+
+  void Kill(int index) {
+    gateway& owner = gateways_[index];
+    if (!owner.core) {
+      return;
+    }
+    driver_.Note("fault_gateway_killed", owner.self.incarnation);
+    owner.core.reset();
+    changed_ = driver_.now;
+    driver_.After(driver_.Delay() * 5, [this, index] {
+      if (!gateways_[index].core) {
+        Start(index);
+      }
+    });
+  }
+
+  // Gives `event` to the start `incarnation` of a gateway, later if it pauses.
+  void GiveTo(int index, const std::string& incarnation, request_event event) {
+    gateway& owner = gateways_[index];
+    if (!owner.core || owner.self.incarnation != incarnation) {
+      return;
+    }
+    if (owner.paused_until > driver_.now) {
+      driver_.After(owner.paused_until - driver_.now,
+                    [this, index, incarnation, event = std::move(event)] {
+                      GiveTo(index, incarnation, event);
+                    });
+      return;
+    }
+    Give(index, event);
+  }
+
+  void Give(int index, const request_event& event) {
+    gateway& owner = gateways_[index];
+    const std::string incarnation = owner.self.incarnation;
+    // It may die between any two of its actions.
+    const int dies_at =
+        driver_.IsFaulty() && driver_.Pick(4'000) == 0 ? driver_.Pick(4) : -1;
+    int count = 0;
+    for (request_action& action :
+         owner.core->Handle(event, driver_.now, driver_.random)) {
+      if (count++ == dies_at) {
+        Kill(index);
+        return;
+      }
+      std::visit([&](auto& item) { Do(index, item); }, action);
+      if (!owner.core || owner.self.incarnation != incarnation) {
+        return;
+      }
+    }
+    const auto wake = owner.core->NextWake();
+    if (wake && (!owner.wake || *wake < *owner.wake)) {
+      owner.wake = wake;
+      driver_.After(std::max(duration(0), *wake - driver_.now),
+                    [this, index, incarnation] {
+                      if (gateways_[index].self.incarnation == incarnation) {
+                        gateways_[index].wake.reset();
+                      }
+                      GiveTo(index, incarnation, time_passed{});
+                    });
+    }
+  }
+
+  // Hands the answer of an outside operation back to its gateway.
+  template <class Event>
+  auto Back(int index, Event event) {
+    return [this, index, event, start = gateways_[index].self.incarnation](
+               auto answer) mutable {
+      event.answer = std::move(answer);
+      GiveTo(index, start, event);
+    };
+  }
+
+  void Do(int index, commit_rows& action) {
+    store_.Commit(action.transaction, Back(index, rows_committed{action.call}));
+  }
+  void Do(int index, read_rows& action) {
+    store_.Read(action.keys, Back(index, rows_read{action.call}));
+  }
+  void Do(int index, store_answer& action) {
+    store_.Put(action.object, gateways_[index].answers.at(action.send),
+               [this, index, request = action.request,
+                start = gateways_[index].self.incarnation](answer_state state) {
+                 GiveTo(index, start, answer_stored{request, state});
+               });
+  }
+  void Do(int index, load_answer& action) {
+    store_.GetObject(
+        action.object,
+        [this, index, request = action.request,
+         start = gateways_[index].self.incarnation](object_answer answer) {
+          const bool is_done = answer.state == answer_state::kDone;
+          if (gateways_[index].self.incarnation == start) {
+            gateways_[index].loaded[request] = answer.value;
+          }
+          GiveTo(index, start,
+                 answer_loaded{request, is_done && answer.exists,
+                               is_done && !answer.exists});
+        });
+  }
+  void Do(int index, send_slots& action) {
+    for (int to = 0; to < kGateways; ++to) {
+      if (gateways_[to].self.id != action.to || to == index) {
+        continue;
+      }
+      if (driver_.IsFaulty() && driver_.Chance(4)) {
+        driver_.met.Add("fault_peer_message_lost");
+        continue;
+      }
+      const int copies = driver_.IsFaulty() && driver_.Chance(2) ? 2 : 1;
+      for (int i = 0; i < copies; ++i) {
+        driver_.After(driver_.Delay(), [this, to, message = action.message] {
+          GiveTo(to, gateways_[to].self.incarnation, slots_received{message});
+        });
+      }
+    }
+  }
+  void Do(int, trim_connections&) {}
+  void Do(int, request_ended&) {}
+  void Do(int index, stop_completed&) {
+    gateway& owner = gateways_[index];
+    driver_.Note("gateway_drained", owner.self.incarnation);
+    driver_.Check(owner.sends.empty(), "graceful_stop_cuts_nothing");
+    for (const auto& [id, request] : requests_) {
+      driver_.Check(request.incarnation != owner.self.incarnation ||
+                        request.replies == 1 || request.is_gone,
+                    "graceful_stop_answers_all");
+    }
+    driver_.After(0s, [this, index] {
+      gateways_[index].core.reset();
+      Start(index);
+    });
+  }
+
+  void Do(int index, send_request& action) {
+    gateway& owner = gateways_[index];
+    caller_request& request = requests_.at(action.request);
+    fake_minion& minion = minions_[action.minion.value.back() - '0'];
+    send_ended end{action.send, answer_state::kDone, 200, false};
+    bool is_run = true;
+    duration work = driver_.Delay();
+    switch (minion.mode) {
+      case minion_mode::kGood:
+        break;
+      case minion_mode::kFails:
+        end.status = 500;
+        break;
+      case minion_mode::kSilent:
+        end.state = answer_state::kUnknown;
+        work = action.timeout;
+        is_run = driver_.Chance(50);
+        break;
+      case minion_mode::kResets:
+        end.state = answer_state::kUnknown;
+        is_run = driver_.Chance(50);
+        break;
+      case minion_mode::kRefuses:
+        end.state = answer_state::kNotDone;
+        is_run = false;
+        break;
+      case minion_mode::kLeaving:
+        end.status = 503;
+        end.refused_leaving = true;
+        is_run = false;
+        break;
+    }
+    if (end.state == answer_state::kUnknown || is_run) {
+      driver_.Check(!request.was_not_run, "not_run_is_never_sent");
+      request.was_sent = true;
+    }
+    if (is_run && !request.key.empty()) {
+      ++executions_[request.key];
+      driver_.Check(executions_[request.key] <= 1, "at_most_once");
+    }
+    driver_.Note("send", owner.self.incarnation + " r" +
+                             std::to_string(action.request) + " " +
+                             request.key + " to " + action.minion.value + " " +
+                             kModeNames[static_cast<int>(minion.mode)]);
+    ++minion.in_work;
+    const bool is_settled = driver_.now - changed_ > kSettling;
+    driver_.Check(minion.in_work <= kSlots || !is_settled, "slots_overused");
+    if (minion.in_work > kSlots) {
+      driver_.met.Add("slots_overused_while_changing");
+    }
+    owner.sends[action.send] = action.request;
+    owner.answers[action.send] = "answer of " + request.key + request.body;
+    work = std::min(work, action.timeout);
+    driver_.After(work, [this, index, end, &minion,
+                         start = owner.self.incarnation] {
+      --minion.in_work;
+      EndSend(index, start, end);
+    });
+  }
+
+  void EndSend(int index, const std::string& start, const send_ended& end) {
+    gateway& owner = gateways_[index];
+    if (owner.self.incarnation == start && owner.sends.erase(end.send) > 0) {
+      GiveTo(index, start, end);
+    }
+  }
+
+  void Do(int index, cancel_send& action) {
+    driver_.After(0s, [this, index, send = action.send,
+                       start = gateways_[index].self.incarnation] {
+      EndSend(index, start, {send, answer_state::kUnknown, 0, false});
+    });
+  }
+
+  caller_request& Reply(int index, request_id id) {
+    caller_request& request = requests_.at(id);
+    driver_.Check(++request.replies == 1, "one_reply");
+    driver_.Check(request.incarnation == gateways_[index].self.incarnation,
+                  "reply_to_own_caller");
+    return request;
+  }
+  void Do(int index, reply_error& action) {
+    caller_request& request = Reply(index, action.request);
+    const std::string kind(GetErrorInfo(action.failure.kind).name);
+    driver_.Note("reply_" + kind + "_" + std::string(GetName(action.outcome)),
+                 "r" + std::to_string(action.request) + " " + request.key);
+    if (action.outcome == run_outcome::kNotRun) {
+      driver_.Check(!request.was_sent, "not_run_was_sent");
+      request.was_not_run = true;
+    }
+    driver_.Check(action.outcome != run_outcome::kRan || request.was_sent ||
+                      executions_[request.key] > 0,
+                  "ran_was_not_sent");
+  }
+  void Do(int index, reply_answer& action) {
+    const caller_request& request = Reply(index, action.request);
+    driver_.Note("reply_answer", "r" + std::to_string(action.request));
+    driver_.Check(gateways_[index].answers.at(action.send) ==
+                      "answer of " + request.key + request.body,
+                  "answer_of_own_request");
+  }
+  void Do(int index, reply_stored& action) {
+    const caller_request& request = Reply(index, action.request);
+    driver_.Note("reply_stored", "r" + std::to_string(action.request));
+    driver_.Check(gateways_[index].loaded.at(action.request) ==
+                      "answer of " + request.key + request.body,
+                  "stored_answer_of_own_key");
+  }
+
+  void Arrive() {
+    if (!driver_.IsFaulty()) {
+      return;
+    }
+    const int index = driver_.Pick(kGateways);
+    const bool is_burst = driver_.Chance(1);
+    for (int i = 0; i < (is_burst ? 60 : 1); ++i) {
+      Submit(index);
+    }
+    driver_.After(std::chrono::milliseconds(driver_.Pick(60)),
+                  [this] { Arrive(); });
+  }
+
+  void Submit(int index) {
+    gateway& owner = gateways_[index];
+    if (!owner.core) {
+      return;
+    }
+    const int kind = driver_.Pick(100);
+    const char* name = kind < 30 ? "check" : (kind < 50 ? "batch" : "reset");
+    const request_id id = ++last_request_;
+    caller_request& request = requests_[id];
+    request = {index, owner.self.incarnation};
+    request.body = "b" + std::to_string(id);
+    if (kind >= 50 && kind < 99) {
+      const bool is_retry = !keys_.empty() && driver_.Chance(50);
+      request.key = is_retry ? keys_[keys_.size() - 1 -
+                                     driver_.Pick(std::min<int>(
+                                         8, static_cast<int>(keys_.size())))]
+                             : "k" + std::to_string(id);
+      request.body = driver_.Chance(3) ? "other" : "b";
+      if (!is_retry) {
+        keys_.push_back(request.key);
+      }
+    }
+    driver_.Note("arrive", "r" + std::to_string(id) + " " + name + " " +
+                               request.key + " at " + owner.self.incarnation);
+    GiveTo(index, owner.self.incarnation,
+           request_arrived{id, {driver_.Pick(200) == 0 ? "nothing" : name},
+                           driver_.Pick(200) == 0 ? "Bearer x" : "Bearer t1",
+                           request.key, Sha256Hex(request.body),
+                           std::chrono::milliseconds(driver_.Chance(20)
+                                                         ? driver_.Pick(800)
+                                                         : 0)});
+    if (driver_.Chance(5)) {
+      driver_.After(driver_.Delay(), [this, index, id] {
+        driver_.met.Add("fault_caller_gone");
+        requests_.at(id).is_gone = true;
+        GiveTo(index, requests_.at(id).incarnation, caller_gone{id});
+      });
+    }
+  }
+
+  // The list of the living, late and seldom wrong.
+  void TellMembers() {
+    for (int to = 0; to < kGateways; ++to) {
+      members_changed event;
+      for (const gateway& other : gateways_) {
+        const bool is_suspected = driver_.IsFaulty() && driver_.Pick(300) == 0;
+        if (is_suspected) {
+          driver_.Note("fault_false_suspicion", other.self.incarnation);
+          changed_ = driver_.now;
+        }
+        if (other.core && !is_suspected) {
+          event.gateways.push_back(other.self);
+        }
+      }
+      GiveTo(to, gateways_[to].self.incarnation, event);
+    }
+    driver_.After(500ms, [this] { TellMembers(); });
+  }
+
+  void BringAboutFailure() {
+    if (!driver_.IsFaulty()) {
+      return;
+    }
+    const int index = driver_.Pick(kGateways);
+    switch (driver_.Pick(10)) {
+      case 0:
+        Kill(index);
+        break;
+      case 1:
+        driver_.Note("fault_gateway_paused", gateways_[index].self.incarnation);
+        gateways_[index].paused_until = driver_.now + driver_.Delay() * 8;
+        changed_ = driver_.now + 40s;
+        break;
+      case 2:
+        store_.is_down = !store_.is_down;
+        driver_.Note(store_.is_down ? "fault_store_down" : "store_up");
+        break;
+      case 3:
+        store_.is_slow = !store_.is_slow;
+        driver_.Note(store_.is_slow ? "fault_store_slow" : "store_fast");
+        break;
+      case 4:
+        store_.lags = !store_.lags;
+        store_.Snapshot();
+        break;
+      case 5:
+        Publish();
+        driver_.Note("config_published");
+        for (int i = 0; i < kGateways; ++i) {
+          GiveTo(i, gateways_[i].self.incarnation, config_changed{config_});
+        }
+        break;
+      case 6:
+        if (gateways_[index].core && !gateways_[index].is_stopping) {
+          gateways_[index].is_stopping = true;
+          driver_.Note("gateway_stop_requested",
+                       gateways_[index].self.incarnation);
+          GiveTo(index, gateways_[index].self.incarnation, stop_requested{});
+        }
+        break;
+      default:
+        SetMode(driver_.Pick(kMinions),
+                driver_.Chance(50) ? minion_mode::kGood
+                                   : static_cast<minion_mode>(driver_.Pick(6)));
+    }
+    driver_.After(std::chrono::milliseconds(driver_.Pick(2'000)),
+                  [this] { BringAboutFailure(); });
+  }
+
+  void SetMode(int minion, minion_mode mode) {
+    minions_[minion].mode = mode;
+    driver_.Note(std::string("minion_") + kModeNames[static_cast<int>(mode)],
+                 std::to_string(minion));
+  }
+
+  void Heal() {
+    store_.is_down = store_.is_slow = store_.lags = false;
+    for (int i = 0; i < kMinions; ++i) {
+      minions_[i].mode = minion_mode::kGood;
+    }
+    Publish();
+    for (int i = 0; i < kGateways; ++i) {
+      gateways_[i].paused_until = driver_.now;
+      GiveTo(i, gateways_[i].self.incarnation, config_changed{config_});
+    }
+  }
+
+  // Everything is over: nothing is left open or unanswered.
+  void CheckEnd() {
+    for (const auto& [id, request] : requests_) {
+      const gateway& owner = gateways_[request.gateway];
+      const bool is_alive =
+          owner.core && owner.self.incarnation == request.incarnation;
+      driver_.Check(!is_alive || request.replies == 1 || request.is_gone,
+                    "every_caller_is_answered r" + std::to_string(id));
+    }
+    for (const gateway& owner : gateways_) {
+      driver_.Check(!owner.core || owner.core->Load().open == 0,
+                    "nothing_is_left_open");
+    }
+  }
+
+  soak_driver driver_;
+  soak_store store_;
+  counter_table counters_;
+  config_ptr config_;
+  gateway gateways_[kGateways];
+  fake_minion minions_[kMinions];
+  std::map<request_id, caller_request> requests_;
+  std::map<std::string, int> executions_;
+  std::vector<std::string> keys_;
+  request_id last_request_ = 0;
+  int incarnations_ = 0;
+  instant changed_;  // Last change of membership or configuration.
+};
+
+}  // namespace
+
+soak_result SoakRequests(const soak_options& options) {
+  return requests_run(options).Run();
+}
+
+}  // namespace sassafras
