--- a/tests/soak_driver.h
+++ b/tests/soak_driver.h
@@ -1,13 +1,16 @@
 #ifndef SASSAFRAS_TESTS_SOAK_DRIVER_H_
 #define SASSAFRAS_TESTS_SOAK_DRIVER_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <iostream>
 #include <map>
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/random.h"
@@ -19,6 +22,7 @@
 struct soak_options {
   std::uint64_t seed = 1;
   std::uint64_t steps = 20'000;  ///< Events until the failures stop.
+  std::string trace;             ///< Prints events that contain it.
 };
 
 /// What a run showed.
@@ -42,6 +46,13 @@
   }
   bool Chance(int percent) { return Pick(100) < percent; }
 
+  /// One of the last few of `all`, which has at least one.
+  const std::string& PickRecent(const std::vector<std::string>& all) {
+    constexpr std::size_t kRecent = 10;
+    const int count = static_cast<int>(std::min(kRecent, all.size()));
+    return all[all.size() - 1 - Pick(count)];
+  }
+
   /// A delay that is mostly short and seldom very long.
   duration Delay() {
     const int kind = Pick(100);
@@ -58,6 +69,11 @@
     met.Add(what);
     journal_.push_back(std::to_string(step_) + " " + std::string(what) + " " +
                        detail);
+    if (!options_.trace.empty() &&
+        journal_.back().find(options_.trace) != std::string::npos) {
+      std::cout << now.time_since_epoch().count() / 1000 << "ms "
+                << journal_.back() << '\n';
+    }
     if (journal_.size() > kJournal) {
       journal_.pop_front();
     }
--- a/tests/soak_main.cc
+++ b/tests/soak_main.cc
@@ -47,6 +47,7 @@
   options.add_options()("seed", po::value(&wanted.seed), "first seed")(
       "seeds", po::value(&seeds), "number of seeds")(
       "steps", po::value(&wanted.steps), "steps of each seed")(
+      "trace", po::value(&wanted.trace), "print events with this word")(
       "part", po::value(&part), "requests, jobs or all");
   po::variables_map values;
   po::store(po::parse_command_line(argc, argv, options), values);
