--- a/bench/main.cc
+++ b/bench/main.cc
@@ -7,6 +7,7 @@
 #include "bench/bench_options.h"
 #include "bench/capacity_bench.h"
 #include "bench/policy_bench.h"
+#include "bench/request_bench.h"
 
 namespace sassafras {
 namespace {
@@ -26,6 +27,7 @@
   return {
       {"capacity", "state, messages and cost by size", RunCapacityBench},
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
+      {"requests", "request path under overload and faults", RunRequestBench},
   };
 }
 
--- a/programs/gateway/request_service.cc
+++ b/programs/gateway/request_service.cc
@@ -14,7 +14,6 @@
 
 constexpr duration kMembersInterval = std::chrono::milliseconds(500);
 constexpr duration kLeavingInterval = std::chrono::seconds(1);
-constexpr std::string_view kSchedulerPrefix = "scheduler";
 constexpr std::string_view kMinionPath = "/v1/requests/";
 
 std::string MakeIncarnation() {
@@ -24,8 +23,8 @@
   return text.str();
 }
 
-bool IsGateway(const process_id& id) {
-  return id.value.rfind(kSchedulerPrefix, 0) != 0;
+bool IsGateway(const peer_settings& peer) {
+  return peer.role == process_role::kGateway;
 }
 
 request_options MakeOptions(const process_settings& settings,
@@ -35,7 +34,7 @@
   options.place = settings.place;
   const auto others = std::count_if(
       settings.peers.begin(), settings.peers.end(), [&](const auto& peer) {
-        return IsGateway(peer.id) && peer.id != settings.id;
+        return IsGateway(peer) && peer.id != settings.id;
       });
   options.gateway_count = 1 + static_cast<int>(others);
   return options;
@@ -182,26 +181,11 @@
   message.connection = action.connection;
   message.timeout = action.timeout;
   return [this, action = std::move(action), message = std::move(message)] {
-    cancel_function cancel =
-        node_.Minions().send(action.address, message,
-                             [this, request = action.request,
-                              send = action.send](minion_answer answer) {
-                               OnSendEnded(request, send, std::move(answer));
-                             });
-    bool is_cancelled = false;
-    {
-      const std::lock_guard lock(mutex_);
-      is_cancelled = early_cancels_.erase(action.send) > 0;
-      const auto it = cancels_.find(action.send);
-      if (it == cancels_.end()) {
-        cancels_[action.send] = cancel;
-      } else {
-        cancels_.erase(it);  // It has ended already.
-      }
-    }
-    if (is_cancelled) {
-      cancel();
-    }
+    node_.Minions().send(action.address, message,
+                         [this, request = action.request,
+                          send = action.send](minion_answer answer) {
+                           OnSendEnded(request, send, std::move(answer));
+                         });
   };
 }
 
@@ -211,30 +195,12 @@
   send_ended event{send, answer.state, answer.status, answer.refused_leaving};
   {
     const std::lock_guard lock(mutex_);
-    const auto cancel = cancels_.find(send);
-    if (cancel == cancels_.end()) {
-      cancels_[send] = nullptr;  // It ended before send() returned.
-    } else {
-      cancels_.erase(cancel);
-    }
-    early_cancels_.erase(send);
     const auto open = open_.find(request);
     if (open != open_.end() && answer.state == answer_state::kDone) {
       open->second.answers[send] = std::move(answer);
     }
   }
   Give(event);
-  const std::lock_guard lock(mutex_);
-  early_cancels_.erase(send);  // Of a cancel that was decided meanwhile.
-}
-
-request_service::task request_service::Plan(const cancel_send& action) {
-  const auto it = cancels_.find(action.send);
-  if (it == cancels_.end()) {
-    early_cancels_.insert(action.send);
-    return nullptr;
-  }
-  return it->second;
 }
 
 request_service::task request_service::Plan(const trim_connections& action) {
@@ -350,7 +316,7 @@
   members_changed event;
   event.gateways.push_back(self_);
   for (const peer_settings& peer : node_.Settings().peers) {
-    if (IsGateway(peer.id) && peer.id != self_.id) {
+    if (IsGateway(peer) && peer.id != self_.id) {
       event.gateways.push_back({peer.id, {}});
     }
   }
--- /dev/null
+++ b/src/job/planner_compact.cc
@@ -0,0 +1,355 @@
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+#include "src/job/planner_impl.h"
+
+namespace sassafras {
+namespace {
+
+// Loans are moved together at most once in this time.
+constexpr duration kCompactPeriod = std::chrono::seconds(10);
+// Moves of one kind at a time: these, and one more for so many workers.
+constexpr int kLeastMoves = 2;
+constexpr int kWorkersPerMove = 25;
+// Workers vacated at a time.
+constexpr int kGreatestVacated = 4;
+// Weight of gaps of unequal size, so that small steps towards a useful shape
+// count as well.
+constexpr double kSpreadWeight = 1.0 / 32;
+// Workers looked at in one step, the least held first.
+constexpr std::size_t kGreatestSources = 16;
+
+constexpr std::string_view kMoves = "plan_moved_together";
+
+int HeldAccelerators(const worker_state& state) {
+  return state.held.accelerators;
+}
+
+}  // namespace
+
+// A loan within one rack that runs and can be checkpointed.
+bool planner::impl::IsMovable(int job) const {
+  const job_entry& entry = jobs_[job];
+  return entry.terms == hold_terms::kBorrowed && !entry.claiming &&
+         entry.phase == job_phase::kRunning && entry.IsPlaceable() &&
+         entry.wanted->level != shape_level::kPlace &&
+         Victims().MayCheckpoint(job);
+}
+
+// Moves loans off partly free workers into the gaps of others, and loans of
+// whole workers out of racks that are nearly free, as far as that pays.
+void planner::impl::Compact() {
+  if (compact_worth_ <= 0 || now_ - compacted_ < kCompactPeriod) {
+    return;
+  }
+  compacted_ = now_;
+  const int most = kLeastMoves + workers_.size() / kWorkersPerMove;
+  int steps = 0;
+  while (steps < kGreatestVacated && VacateOneWorker()) {
+    ++steps;
+  }
+  FillGaps(most);
+  GatherWholeWorkers(most);
+}
+
+void planner::impl::Move(int job, const std::vector<int>& to) {
+  job_entry& entry = jobs_[job];
+  counters_.Add(kMoves);
+  for (const int worker : to) {
+    workers_.Claim(worker, job, entry.need);
+  }
+  entry.move_to = to;
+  entry.claim_order = next_claim_++;
+  ++entry.evictions;
+  MarkStopping(job, true);
+  entry.stop_asked = now_;
+  entry.beneficiary = entry.job.id;
+  unconfirmed_stops_.insert(job);
+  plan_.stops.push_back({entry.job.id, entry.job.id, /*checkpoint=*/true});
+}
+
+// Finds for every job of `source` a gap on another partly free worker, the
+// tightest for the largest job first.
+std::optional<std::vector<std::pair<int, int>>> planner::impl::PlanVacating(
+    int source) const {
+  std::vector<int> jobs = workers_[source].occupants;
+  std::sort(jobs.begin(), jobs.end(), [this](int a, int b) {
+    return std::make_tuple(-jobs_[a].need.accelerators, a) <
+           std::make_tuple(-jobs_[b].need.accelerators, b);
+  });
+  std::map<int, resources> left;
+  std::vector<std::pair<int, int>> moves;
+  for (const int job : jobs) {
+    if (jobs_[job].need.accelerators == 0) {
+      continue;
+    }
+    if (!IsMovable(job) || jobs_[job].workers.size() > 1) {
+      return std::nullopt;
+    }
+    const resources& need = jobs_[job].need;
+    int best = -1;
+    resources best_left;
+    for (int worker = 0; worker < workers_.size(); ++worker) {
+      const worker_state& state = workers_[worker];
+      const bool partly =
+          state.usable && !state.IsWhole() && state.Free().accelerators > 0;
+      if (!partly || worker == source ||
+          reserved_on_[static_cast<std::size_t>(worker)] != 0) {
+        continue;
+      }
+      const auto used = left.find(worker);
+      const resources free = used == left.end() ? state.Free() : used->second;
+      if (free.Holds(need) &&
+          (best < 0 || free.accelerators < best_left.accelerators)) {
+        best = worker;
+        best_left = free;
+      }
+    }
+    if (best < 0) {
+      return std::nullopt;
+    }
+    best_left -= need;
+    left[best] = best_left;
+    moves.emplace_back(job, best);
+  }
+  return moves;
+}
+
+bool planner::impl::VacateOneWorker() {
+  std::vector<int> sources;
+  for (int worker = 0; worker < workers_.size(); ++worker) {
+    const worker_state& state = workers_[worker];
+    const bool partly = state.usable && state.Free().accelerators > 0 &&
+                        HeldAccelerators(state) > 0;
+    if (partly && state.fixed == 0) {
+      sources.push_back(worker);
+    }
+  }
+  std::sort(sources.begin(), sources.end(), [this](int a, int b) {
+    return std::make_tuple(HeldAccelerators(workers_[a]), a) <
+           std::make_tuple(HeldAccelerators(workers_[b]), b);
+  });
+  sources.resize(std::min(sources.size(), kGreatestSources));
+  const victim_search victims = Victims();
+  for (const int source : sources) {
+    const auto moves = PlanVacating(source);
+    if (!moves || moves->empty()) {
+      continue;
+    }
+    double cost = 0;
+    for (const auto& [job, to] : *moves) {
+      cost += victims.Loss(job);
+    }
+    if (cost > compact_worth_ * workers_[source].capacity.accelerators) {
+      continue;
+    }
+    for (const auto& [job, to] : *moves) {
+      Move(job, {to});
+    }
+    return true;
+  }
+  return false;
+}
+
+// Accelerators of a gap that some shape can use, weighted by what is asked for
+// in each size.
+double planner::impl::GapValue(int free) const {
+  double useful = 0;
+  double asked = 0;
+  for (const auto& [size, seconds] : demand_) {
+    const int used = free / size * size;
+    useful += seconds * used;
+    asked += seconds;
+  }
+  return (asked > 0 ? useful / asked : 0) + kSpreadWeight * free * free;
+}
+
+// Partly free workers that drain for no one, by free accelerators.
+std::map<int, std::vector<int>> planner::impl::FindGaps() const {
+  std::map<int, std::vector<int>> gaps;
+  for (int worker = 0; worker < workers_.size(); ++worker) {
+    const worker_state& state = workers_[worker];
+    const int free = state.Free().accelerators;
+    if (state.usable && free > 0 && !state.IsWhole() &&
+        reserved_on_[static_cast<std::size_t>(worker)] == 0) {
+      gaps[free].push_back(worker);
+    }
+  }
+  return gaps;
+}
+
+// What is gained by moving `job` from one gap into another, in accelerator
+// seconds.
+double planner::impl::MoveGain(int job, int source, int target) const {
+  const int from = workers_[source].Free().accelerators;
+  const int to = workers_[target].Free().accelerators;
+  const int size = jobs_[job].need.accelerators;
+  const double useful = GapValue(from + size) + GapValue(to - size) -
+                        GapValue(from) - GapValue(to);
+  return compact_worth_ * useful - Victims().Loss(job);
+}
+
+// Every move of a loan into another gap that pays. Looks at one gap of each
+// size for each loan.
+std::vector<planner::impl::gap_move> planner::impl::FindGapMoves() const {
+  const std::map<int, std::vector<int>> gaps = FindGaps();
+  std::vector<gap_move> moves;
+  for (int source = 0; source < workers_.size(); ++source) {
+    const worker_state& state = workers_[source];
+    if (!state.usable || state.Free().accelerators <= 0) {
+      continue;
+    }
+    for (const int job : state.occupants) {
+      const int size = jobs_[job].need.accelerators;
+      if (size == 0 || !IsMovable(job) || jobs_[job].workers.size() > 1) {
+        continue;
+      }
+      for (auto it = gaps.lower_bound(size); it != gaps.end(); ++it) {
+        const std::size_t pick =
+            static_cast<std::size_t>(source) % it->second.size();
+        const int target = it->second[pick];
+        const bool fits =
+            target != source && workers_[target].Free().Holds(jobs_[job].need);
+        const double gain = fits ? MoveGain(job, source, target) : 0;
+        if (gain > 0) {
+          moves.push_back({gain, job, source, target});
+        }
+      }
+    }
+  }
+  return moves;
+}
+
+// Makes the best of these moves, at most `most`, each on workers of its own.
+int planner::impl::FillGaps(int most) {
+  std::vector<gap_move> moves = FindGapMoves();
+  std::sort(moves.begin(), moves.end(), std::greater<>());
+  std::set<int> touched;
+  int made = 0;
+  for (const gap_move& move : moves) {
+    if (made >= most) {
+      break;
+    }
+    if (touched.contains(move.source) || touched.contains(move.target)) {
+      continue;
+    }
+    touched.insert(move.source);
+    touched.insert(move.target);
+    Move(move.job, {move.target});
+    ++made;
+  }
+  return made;
+}
+
+// Whole free workers of a rack that some gang can use, weighted by what is
+// asked for in each size, in accelerators.
+double planner::impl::RackValue(int whole, int accelerators) const {
+  double useful = 0;
+  for (const auto& [workers, seconds] : gang_demand_) {
+    const int used = whole / workers * workers;
+    useful += seconds * used;
+  }
+  double asked = 0;
+  for (const auto& [size, seconds] : demand_) {
+    asked += seconds;
+  }
+  return accelerators *
+         ((asked > 0 ? useful / asked : 0) + kSpreadWeight * whole * whole);
+}
+
+// The rack of a loan that fills all its workers, or -1.
+int planner::impl::FilledRack(int job) const {
+  const job_entry& entry = jobs_[job];
+  const int rack = workers_[entry.workers.front()].rack;
+  const bool fills =
+      std::all_of(entry.workers.begin(), entry.workers.end(), [&](int worker) {
+        const worker_state& state = workers_[worker];
+        return state.usable && state.rack == rack &&
+               entry.need.accelerators == state.capacity.accelerators;
+      });
+  return fills ? rack : -1;
+}
+
+// Whole free workers that drain for no one, by rack.
+std::vector<std::vector<int>> planner::impl::WholeByRack() const {
+  std::vector<std::vector<int>> whole(workers_.Racks().size());
+  for (int worker = 0; worker < workers_.size(); ++worker) {
+    const worker_state& state = workers_[worker];
+    if (state.rack >= 0 && state.IsWhole() &&
+        reserved_on_[static_cast<std::size_t>(worker)] == 0) {
+      whole[static_cast<std::size_t>(state.rack)].push_back(worker);
+    }
+  }
+  return whole;
+}
+
+// Every move of a loan of whole workers into another rack that pays. Looks at
+// one rack of each number of whole free workers for each loan.
+std::vector<planner::impl::gap_move> planner::impl::FindRackMoves(
+    const std::vector<std::vector<int>>& whole) const {
+  std::map<int, std::vector<int>> by_count;
+  for (std::size_t rack = 0; rack < whole.size(); ++rack) {
+    by_count[static_cast<int>(whole[rack].size())].push_back(
+        static_cast<int>(rack));
+  }
+  std::vector<gap_move> moves;
+  const victim_search victims = Victims();
+  for (const auto& [id, job] : jobs_.Index()) {
+    const int source = IsMovable(job) ? FilledRack(job) : -1;
+    if (source < 0) {
+      continue;
+    }
+    const int size = static_cast<int>(jobs_[job].workers.size());
+    const int each = jobs_[job].need.accelerators;
+    const int from =
+        static_cast<int>(whole[static_cast<std::size_t>(source)].size());
+    const double loss = victims.Loss(job);
+    for (auto it = by_count.lower_bound(size); it != by_count.end(); ++it) {
+      const std::size_t pick =
+          static_cast<std::size_t>(source) % it->second.size();
+      const int target = it->second[pick];
+      const double useful = RackValue(from + size, each) +
+                            RackValue(it->first - size, each) -
+                            RackValue(from, each) - RackValue(it->first, each);
+      const double gain = compact_worth_ * useful - loss;
+      if (target != source && gain > 0) {
+        moves.push_back({gain, job, source, target});
+      }
+    }
+  }
+  return moves;
+}
+
+// Makes the best of these moves, at most `most`, each on racks of its own.
+int planner::impl::GatherWholeWorkers(int most) {
+  const std::vector<std::vector<int>> whole = WholeByRack();
+  std::vector<gap_move> moves = FindRackMoves(whole);
+  std::sort(moves.begin(), moves.end(), std::greater<>());
+  std::set<int> touched;
+  int made = 0;
+  for (const gap_move& move : moves) {
+    if (made >= most) {
+      break;
+    }
+    const std::vector<int>& free = whole[static_cast<std::size_t>(move.target)];
+    std::vector<int> to;
+    for (const int worker : free) {
+      if (to.size() < jobs_[move.job].workers.size() &&
+          workers_[worker].Free().Holds(jobs_[move.job].need)) {
+        to.push_back(worker);
+      }
+    }
+    if (to.size() < jobs_[move.job].workers.size() ||
+        touched.contains(move.source) || touched.contains(move.target)) {
+      continue;
+    }
+    touched.insert(move.source);
+    touched.insert(move.target);
+    Move(move.job, to);
+    ++made;
+  }
+  return made;
+}
+
+}  // namespace sassafras
--- a/src/job/planner_guarantee.cc
+++ b/src/job/planner_guarantee.cc
@@ -6,13 +6,19 @@
 namespace sassafras {
 namespace {
 
+// Cost of an accelerator that drains for a large gang, in seconds, so that a
+// guarantee moves a loan elsewhere rather than hold up the gang.
+constexpr double kDrainCost = 2'000;
+
+constexpr int kDrainRank = 1 << 20;
+
 constexpr std::string_view kReclaims = "plan_guarantee_reclaimed";
 
 }  // namespace
 
 // Starts waiting jobs on the guarantees of their teams. One bucket's failure
 // does not hold up another.
-void planner::impl::PlaceGuaranteed() {
+void planner::impl::PlaceGuaranteed(cell_fit fit) {
   for (const queue_rank& rank : RankedBuckets()) {
     if (cells_.OfTeam(rank.key.team).empty()) {
       continue;
@@ -20,25 +26,28 @@
     for (const bucket* waiting = FindBucket(rank.key);
          waiting != nullptr && starts_left_ > 0;
          waiting = FindBucket(rank.key)) {
-      if (!StartOnGuarantee(waiting->begin()->second)) {
+      if (!StartOnGuarantee(waiting->begin()->second, fit)) {
         break;
       }
     }
   }
 }
 
-// Uses the cell that leaves the least unused: first those in use that have
-// room, then the smallest unused one that holds the shape.
-bool planner::impl::StartOnGuarantee(int job) {
+// Uses the cell that leaves the least unused: of the larger ones first those
+// in use that have room. Cells on workers that drain come last.
+bool planner::impl::StartOnGuarantee(int job, cell_fit fit) {
   const shape& wanted = *jobs_[job].wanted;
   std::vector<std::pair<int, int>> order;
   for (const int cell : cells_.OfTeam(jobs_[job].team)) {
     const guarantee_cell& item = cells_[cell];
-    if (!item.IsBound() || !CanHold(item.promised, wanted)) {
+    const bool exact = IsSameShape(item.promised, wanted);
+    if (!item.IsBound() || exact != (fit == cell_fit::kExact) ||
+        !MayUse(item, jobs_[job])) {
       continue;
     }
-    const int size = item.promised.TotalAccelerators();
-    order.emplace_back(item.IsUsed() ? -1 : size, cell);
+    int rank = item.IsUsed() ? 0 : item.promised.TotalAccelerators();
+    rank += item.IsUsed() && Drains(item) ? kDrainRank : 0;
+    order.emplace_back(rank, cell);
   }
   std::sort(order.begin(), order.end());
   for (const auto& [size, cell] : order) {
@@ -53,20 +62,47 @@
   return false;
 }
 
+// What others lose if the job runs on `worker`. Between free workers, those
+// that drain for no one and are among other work that cannot be moved.
+std::optional<double> planner::impl::GuaranteeCost(int job, int worker) const {
+  const resources& need = jobs_[job].wanted->per_worker;
+  const std::optional<double> lost =
+      Victims().Cost(worker, need, {true, job, 0});
+  if (!lost) {
+    return std::nullopt;
+  }
+  const bool drains = reserved_on_[static_cast<std::size_t>(worker)] != 0;
+  return *lost + 1 - workers_.FixedShare(worker, need) +
+         (drains ? kDrainCost * need.accelerators : 0);
+}
+
+// A small job does not keep a large cell from moving, unless it is urgent.
+bool planner::impl::MayUse(const guarantee_cell& cell,
+                           const job_entry& entry) const {
+  const bool whole = cell.promised.per_worker == entry.wanted->per_worker;
+  return CanHold(cell.promised, *entry.wanted) &&
+         (whole || entry.class_object->order == urgency::kUrgent);
+}
+
+bool planner::impl::Drains(const guarantee_cell& cell) const {
+  return std::any_of(
+      cell.workers.begin(), cell.workers.end(), [this](int worker) {
+        return reserved_on_[static_cast<std::size_t>(worker)] != 0;
+      });
+}
+
 // Within a cell that stays where it is.
 std::optional<planner::impl::cell_choice> planner::impl::ChooseInUsedCell(
     int job,
     int cell) const {
   const guarantee_cell& item = cells_[cell];
   const shape& wanted = *jobs_[job].wanted;
-  const eviction_rule rule{true, job, 0};
   std::vector<std::pair<double, int>> order;
   for (std::size_t i = 0; i < item.workers.size(); ++i) {
     if (!item.room[i].Holds(wanted.per_worker)) {
       continue;
     }
-    const std::optional<double> cost =
-        Victims().Cost(item.workers[i], wanted.per_worker, rule);
+    const std::optional<double> cost = GuaranteeCost(job, item.workers[i]);
     if (cost) {
       order.emplace_back(*cost, item.workers[i]);
     }
@@ -91,15 +127,13 @@
     int cell) {
   const shape promised = cells_[cell].promised;
   const shape& wanted = *jobs_[job].wanted;
-  const eviction_rule rule{true, job, 0};
-  const victim_search victims = Victims();
   const std::vector<int> former = cells_[cell].workers;
   cells_.Unbind(cell);
   const auto cost = [&](int worker) -> std::optional<double> {
     if (!workers_[worker].Unpromised().Holds(promised.per_worker)) {
       return std::nullopt;
     }
-    return victims.Cost(worker, wanted.per_worker, rule);
+    return GuaranteeCost(job, worker);
   };
   const auto group = FindGroup(workers_, promised.level, promised.workers,
                                group_order::kTightest, cost);
@@ -127,7 +161,7 @@
     if (choice && (!best || choice->cost < best->cost)) {
       best = std::move(choice);
     }
-    if (best && best->cost == 0) {
+    if (best && best->cost < 1) {
       break;
     }
   }
