--- a/bench/main.cc
+++ b/bench/main.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "bench/bench_options.h"
+#include "bench/capacity_bench.h"
 #include "bench/config_bench.h"
 #include "bench/policy_bench.h"
 #include "bench/request_bench.h"
@@ -25,6 +26,7 @@
 // One line per measurement.
 std::vector<bench_command> BenchCommands() {
   return {
+      {"capacity", "state, messages and cost by size", RunCapacityBench},
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
       {"config", "configuration, membership and leases, in virtual time",
        RunConfigBench},
