--- a/tests/soak_requests.cc
+++ b/tests/soak_requests.cc
@@ -63,6 +63,9 @@
       const claim_record claim = DecodeClaim(row.value).value();
       driver_.Note("row_" + std::string(GetName(claim.state)),
                    row.key + " token " + claim.token);
+      driver_.Check(claim.state != claim_state::kAnswered ||
+                        store_.objects.count(claim.object) > 0,
+                    "answered_row_has_its_object");
     };
     Publish();
     for (int i = 0; i < kGateways; ++i) {
@@ -95,7 +98,9 @@
     AddClass(set, "check", urgency::kUrgent, true, 2s);
     AddClass(set, "batch", urgency::kBatch, true, 20s);
     AddClass(set, "reset", urgency::kNormal, false, 10s);
-    target lab{{"lab"}, false, {}};
+    const bool is_target_leaving =
+        driver_.IsFaulty() && config_ && driver_.Chance(5);
+    target lab{{"lab"}, is_target_leaving, {}};
     for (int i = 0; i < kMinions; ++i) {
       const std::string name = "m" + std::to_string(i);
       const bool leaves = driver_.IsFaulty() && config_ && driver_.Chance(10);
