--- a/programs/gateway/request_codec.h
+++ b/include/sassafras/request/request_codec.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
-#define SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
+#ifndef SASSAFRAS_REQUEST_REQUEST_CODEC_H_
+#define SASSAFRAS_REQUEST_REQUEST_CODEC_H_
 
 #include <optional>
 #include <string>
@@ -18,7 +18,7 @@
 /// Returns empty for a damaged value or a later format.
 std::optional<minion_answer> DecodeStoredAnswer(const std::string& value);
 
-/// A slot message as it goes to a peer of `cluster` (MessagePack).
+/// A slot message as it goes to a peer of `cluster`.
 std::string EncodeSlotMessage(const slot_message& message,
                               const std::string& cluster);
 
@@ -27,4 +27,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PROGRAMS_GATEWAY_REQUEST_CODEC_H_
+#endif  // SASSAFRAS_REQUEST_REQUEST_CODEC_H_
