--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -31,7 +31,13 @@
 /// check, publish, get, ...: what concerns configuration.
 std::vector<ctl_command> ConfigCommands();
 
-/// submit, status, cancel: what concerns jobs.
+/// Prints the version of each process and who is behind.
+int StatusOfProcesses(const ctl_options& options);
+
+/// Prints in one sentence where a job stands and, if it waits, why.
+int StatusOfJob(const ctl_options& options);
+
+/// submit, cancel: what concerns jobs.
 std::vector<ctl_command> JobCommands();
 
 }  // namespace sassafras
--- a/programs/ctl/config_status_commands.cc
+++ b/programs/ctl/config_status_commands.cc
@@ -36,7 +36,24 @@
   return status;
 }
 
-int Status(const ctl_options& options) {
+int Counters(const ctl_options& options) {
+  blocking_ports ports(options.platform);
+  for (const std::string& address : options.gateways) {
+    http_request request;
+    request.method = "GET";
+    request.path = "/metrics";
+    const http_answer answer = ports.Call(address, std::move(request));
+    std::cout << "# " << address
+              << (answer.state == answer_state::kDone ? "" : " no answer")
+              << '\n'
+              << answer.response.body;
+  }
+  return kExitOk;
+}
+
+}  // namespace
+
+int StatusOfProcesses(const ctl_options& options) {
   blocking_ports ports(options.platform);
   std::vector<process_status> all;
   std::uint64_t highest = 0;
@@ -61,26 +78,8 @@
   return is_whole ? kExitOk : kExitRefused;
 }
 
-int Counters(const ctl_options& options) {
-  blocking_ports ports(options.platform);
-  for (const std::string& address : options.gateways) {
-    http_request request;
-    request.method = "GET";
-    request.path = "/metrics";
-    const http_answer answer = ports.Call(address, std::move(request));
-    std::cout << "# " << address
-              << (answer.state == answer_state::kDone ? "" : " no answer")
-              << '\n'
-              << answer.response.body;
-  }
-  return kExitOk;
-}
-
-}  // namespace
-
 std::vector<ctl_command> ConfigStatusCommands() {
-  return {{"status", ": version of each process and who is behind", Status},
-          {"counters", ": counters of each process", Counters}};
+  return {{"counters", ": counters of each process", Counters}};
 }
 
 }  // namespace sassafras
--- a/programs/ctl/job_commands.cc
+++ b/programs/ctl/job_commands.cc
@@ -109,15 +109,6 @@
   return Print(CallGateways(options, request));
 }
 
-int Status(const ctl_options& options) {
-  if (!HasArguments(options, 1, 1)) {
-    return kExitUsage;
-  }
-  return Print(CallGateways(
-      options, MakeRequest(options, "GET",
-                           std::string(kJobs) + "/" + options.arguments[0])));
-}
-
 int Cancel(const ctl_options& options) {
   if (!HasArguments(options, 1, 1)) {
     return kExitUsage;
@@ -130,9 +121,17 @@
 
 }  // namespace
 
+int StatusOfJob(const ctl_options& options) {
+  if (!HasArguments(options, 1, 1)) {
+    return kExitUsage;
+  }
+  return Print(CallGateways(
+      options, MakeRequest(options, "GET",
+                           std::string(kJobs) + "/" + options.arguments[0])));
+}
+
 std::vector<ctl_command> JobCommands() {
   return {{"submit", "KEY CLASS SHAPE RUN [PAYLOAD]: submits a job", Submit},
-          {"status", "JOB: tells a job's state, and why it waits", Status},
           {"cancel", "JOB: cancels a job", Cancel}};
 }
 
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -43,11 +43,26 @@
   return kExitUsage;
 }
 
-int Main(int argc, const char* const* argv) {
+int Status(const ctl_options& options) {
+  return options.arguments.empty() ? StatusOfProcesses(options)
+                                   : StatusOfJob(options);
+}
+
+std::vector<ctl_command> AllCommands() {
   std::vector<ctl_command> commands = ConfigCommands();
   for (ctl_command& command : JobCommands()) {
     commands.push_back(std::move(command));
   }
+  commands.push_back(
+      {"status",
+       "[JOB]: where a job stands and why it waits; without JOB, the version "
+       "of each process and who is behind",
+       Status});
+  return commands;
+}
+
+int Main(int argc, const char* const* argv) {
+  const std::vector<ctl_command> commands = AllCommands();
   po::options_description options("Options");
   options.add_options()("help", "print this text")("version",
                                                    "print the version")(
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -21,4 +21,4 @@
     ctest --test-dir "$build" -R "^(${pattern})\$" || true
   fi
 fi
-ctest --test-dir "$build" --output-on-failure --timeout 300 --no-tests=error -j "$(nproc)" "${exclude[@]}"
+ctest --test-dir "$build" --output-on-failure --no-tests=error -j "$(nproc)" "${exclude[@]}"
