Stand in for whole gangs only

Cause: a scheduler that stands in for a dead owner while the store is away went on renewing three tasks of a gang whose fourth worker had died, for up to 15 minutes: a gang at work in part. Ruled out: the owner's own renewals (it stops a gang that lost a member), and stale rows (the row was right; the gang was not). Change: a process that stands in renews a gang only while each of its tasks was confirmed within a lease; an ended task stays confirmed. Tried and put back: letting the owner wait two leases more before an attempt that was released counts as stopped.

--- a/src/job/job_core.cc
+++ b/src/job/job_core.cc
@@ -277,11 +277,17 @@
                         now_ - *last_good_contact_ <= options_.longest_outage;
   const bool is_standing_in =
       mode_ == mode::kStandby && !ownership_.is_other_alive && is_fresh;
+  if (is_standing_in && !was_standing_in_) {
+    renewals_.ConfirmAll(now_);
+  }
+  was_standing_in_ = is_standing_in;
   if (mode_ == mode::kStandby && !is_standing_in) {
     return;
   }
+  const auto scope = mode_ == mode::kOwner ? renewal_table::scope::kAll
+                                           : renewal_table::scope::kWholeGangs;
   for (renew_tasks& call :
-       renewals_.Due(now_, RenewInterval(), options_.lease)) {
+       renewals_.Due(now_, RenewInterval(), options_.lease, scope)) {
     if (mode_ == mode::kOwner) {
       for (const job_id& id : renewals_.JobsOn(call.worker)) {
         NoteRenewal(jobs_.at(id), call.worker, now_, options_);
--- a/src/job/job_core_impl.h
+++ b/src/job/job_core_impl.h
@@ -98,6 +98,7 @@
   job_core_options options_;
   counter_table& counters_;
   mode mode_ = mode::kStandby;
+  bool was_standing_in_ = false;
   std::uint64_t epoch_ = 0;
   job_ownership ownership_;
   instant now_;
--- a/src/job/job_workers.cc
+++ b/src/job/job_workers.cc
@@ -158,7 +158,7 @@
 }
 
 void job_core::impl::On(const tasks_renewed& event) {
-  renewals_.OnAnswer(event.worker);
+  renewals_.OnAnswer(event.worker, event.sent, event.answer);
   if (mode_ != mode::kOwner) {
     return;
   }
--- a/src/job/renewal_table.cc
+++ b/src/job/renewal_table.cc
@@ -17,12 +17,19 @@
     worker_tasks& known = workers_[place.worker];
     known.address = place.address;
     known.next = {};
-    known.tasks.emplace(MakeTaskId(row.id, row.attempt, static_cast<int>(i)),
-                        row.id);
+    const task_id task = MakeTaskId(row.id, row.attempt, static_cast<int>(i));
+    known.tasks.emplace(task, row.id);
+    confirmed_[row.id].emplace(task, instant());
   }
 }
 
+void renewal_table::Clear() {
+  workers_.clear();
+  confirmed_.clear();
+}
+
 void renewal_table::Remove(const job_row& row) {
+  confirmed_.erase(row.id);
   for (std::size_t i = 0; i < row.placement.size(); ++i) {
     const auto it = workers_.find(row.placement[i].worker);
     if (it == workers_.end()) {
@@ -38,7 +45,8 @@
 
 std::vector<renew_tasks> renewal_table::Due(instant now,
                                             duration interval,
-                                            duration lease) {
+                                            duration lease,
+                                            scope wanted) {
   std::vector<renew_tasks> calls;
   const std::size_t most = std::max(kLeastCalls, workers_.size() / kSpread);
   for (auto& [worker, known] : workers_) {
@@ -48,21 +56,70 @@
     if (known.is_in_flight || now < known.next) {
       continue;
     }
-    known.is_in_flight = true;
     known.next = now + interval;
     renew_tasks call{worker, known.address, now, {}, lease};
     for (const auto& [task, job] : known.tasks) {
-      call.tasks.push_back(task);
+      if (wanted == scope::kAll || IsWhole(job, now, lease)) {
+        call.tasks.push_back(task);
+      }
+    }
+    if (!call.tasks.empty()) {
+      known.is_in_flight = true;
+      calls.push_back(std::move(call));
     }
-    calls.push_back(std::move(call));
   }
   return calls;
 }
 
-void renewal_table::OnAnswer(const worker_id& worker) {
+bool renewal_table::IsWhole(const job_id& job,
+                            instant now,
+                            duration lease) const {
+  const auto gang = confirmed_.find(job);
+  return gang != confirmed_.end() &&
+         std::all_of(
+             gang->second.begin(), gang->second.end(),
+             [&](const auto& entry) { return now - entry.second <= lease; });
+}
+
+void renewal_table::ConfirmAll(instant now) {
+  for (auto& [job, tasks] : confirmed_) {
+    for (auto& [task, confirmed] : tasks) {
+      confirmed = now;
+    }
+  }
+}
+
+void renewal_table::OnAnswer(const worker_id& worker,
+                             instant sent,
+                             const report_answer& answer) {
   const auto it = workers_.find(worker);
-  if (it != workers_.end()) {
-    it->second.is_in_flight = false;
+  if (it == workers_.end()) {
+    return;
+  }
+  it->second.is_in_flight = false;
+  if (answer.state != answer_state::kDone) {
+    return;
+  }
+  for (const task_report& report : answer.tasks) {
+    const auto known = it->second.tasks.find(report.task);
+    if (known == it->second.tasks.end()) {
+      continue;
+    }
+    instant& confirmed = confirmed_[known->second][report.task];
+    switch (report.state) {
+      case task_state::kHeld:
+      case task_state::kRunning:
+        confirmed = std::max(confirmed, sent);
+        break;
+      case task_state::kEnded:
+        // Stays confirmed while the rest of the gang finishes.
+        confirmed = instant::max();
+        break;
+      case task_state::kFailed:
+      case task_state::kStopped:
+        confirmed = instant();
+        break;
+    }
   }
 }
 
--- a/src/job/renewal_table.h
+++ b/src/job/renewal_table.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRAS_JOB_RENEWAL_TABLE_H_
 #define SASSAFRAS_JOB_RENEWAL_TABLE_H_
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -23,14 +24,30 @@
   void Remove(const job_row& row);
 
   /// Removes everything.
-  void Clear() { workers_.clear(); }
+  void Clear();
+
+  /// Which tasks Due() renews.
+  enum class scope : std::uint8_t {
+    kAll,         ///< All of them: for the owner, who stops partial gangs.
+    kWholeGangs,  ///< Those of gangs whose tasks were all confirmed to live
+                  ///< within a lease: for a process that stands in, and that
+                  ///< may not know that a gang is being stopped.
+  };
 
   /// Returns calls that are due, a bounded part of all at once. A worker whose
   /// call is unanswered is passed over.
-  std::vector<renew_tasks> Due(instant now, duration interval, duration lease);
+  std::vector<renew_tasks> Due(instant now,
+                               duration interval,
+                               duration lease,
+                               scope wanted);
 
-  /// Notes that the call to `worker` was answered, in whatever way.
-  void OnAnswer(const worker_id& worker);
+  /// Takes every task as confirmed at `now`, when a process begins to stand in.
+  void ConfirmAll(instant now);
+
+  /// Takes in the answer to the call that was sent to `worker` at `sent`.
+  void OnAnswer(const worker_id& worker,
+                instant sent,
+                const report_answer& answer);
 
   /// Jobs with tasks on `worker`.
   std::set<job_id> JobsOn(const worker_id& worker) const;
@@ -49,7 +66,11 @@
     bool is_in_flight = false;
   };
 
+  bool IsWhole(const job_id& job, instant now, duration lease) const;
+
   std::map<worker_id, worker_tasks> workers_;
+  /// When each task was last known to live or to have ended well.
+  std::map<job_id, std::map<task_id, instant>> confirmed_;
 };
 
 }  // namespace sassafras::job
--- a/tests/job_core_test.cc
+++ b/tests/job_core_test.cc
@@ -169,6 +169,14 @@
     CHECK(Working(world, job) == 4);
     CHECK(world.counters.Get("job_renewal_stood_in") > 0);
   }
+  SECTION("a process that stands in lets a gang lapse that lost a member") {
+    world.Kill(0);
+    world.Run(60s);
+    CHECK(Working(world, job) == 4);
+    world.workers.at(world.Row(job).placement[0].worker.value).is_dead = true;
+    CHECK(world.RunUntil([&] { return Working(world, job) <= 1; }, 70s));
+    return;
+  }
   world.store.is_down = false;
   world.TakeOver(1);
   REQUIRE(RunUntilEnded(world, job, 400s));
