--- a/bench/request_bench.cc
+++ b/bench/request_bench.cc
@@ -98,20 +98,29 @@
   return 0;
 }
 
+// Name of a target: scenario, figure and seed.
+std::string Title(std::string_view scenario,
+                  std::string_view figure,
+                  std::uint64_t seed) {
+  std::string title(scenario);
+  title.append(" ").append(figure);
+  title.append(" seed ").append(std::to_string(seed));
+  return title;
+}
+
 void AddTargets(const bench_run& run, bench_report& report) {
-  const std::string seed = " seed " + std::to_string(run.seed);
   const double idle_p99 = ValueOf(run, "idle_urgent_p99");
   for (const std::string name : {"overload", "killed", "failing", "silent"}) {
-    report.targets.push_back(AtMost(name + " urgent p99" + seed,
+    report.targets.push_back(AtMost(Title(name, "urgent p99", run.seed),
                                     kMostUrgentFactor * idle_p99,
                                     ValueOf(run, name + "_urgent_p99"), "ms"));
     report.targets.push_back(
-        AtLeast(name + " batch goodput" + seed, kLeastGoodput,
+        AtLeast(Title(name, "batch goodput", run.seed), kLeastGoodput,
                 ValueOf(run, name + "_batch_goodput"), "part of slots"));
-    report.targets.push_back(AtMost(name + " duplicates" + seed, 0,
+    report.targets.push_back(AtMost(Title(name, "duplicates", run.seed), 0,
                                     ValueOf(run, name + "_duplicates"),
                                     "requests"));
-    report.targets.push_back(AtMost(name + " lost answers" + seed, 0,
+    report.targets.push_back(AtMost(Title(name, "lost answers", run.seed), 0,
                                     ValueOf(run, name + "_lost_answers"),
                                     "requests"));
   }
