Take no service times from sends that a pause of the process spans

Cause: a gateway that was paused for 30 s took the answers that had waited for it for service times of 30 s. Ruled out: the membership that it waits for (requests queue meanwhile), and the arrivals' own deadlines (they begin when the request is read). Change: a send that began before the end of a noticed pause gives no sample.

--- a/src/request/request_core.cc
+++ b/src/request/request_core.cc
@@ -69,6 +69,7 @@
 void request_core::impl::CheckPause() {
   if (next_wake_ && now_ > *next_wake_ + kPauseLimit && !is_suspended_) {
     is_suspended_ = true;
+    resumed_at_ = now_;
     counters_.Add("request_pause_noticed");
     ApplyMembers();
   }
--- a/src/request/request_core_impl.h
+++ b/src/request/request_core_impl.h
@@ -204,6 +204,7 @@
   bool is_stopping_ = false;
   bool is_stopped_ = false;
   bool is_suspended_ = false;
+  std::optional<instant> resumed_at_;  ///< End of the last noticed pause.
 
   // Of the event in progress.
   instant now_;
--- a/src/request/request_dispatch.cc
+++ b/src/request/request_dispatch.cc
@@ -245,7 +245,10 @@
   }
   request_entry* entry = &entries_.at(ended.request);
   entry->sends.erase(event.send);
-  if (IsSuccess(event)) {
+  // Of a send that was in progress during a pause of this process, the time
+  // tells of the pause.
+  const bool is_timed = !resumed_at_ || ended.started >= *resumed_at_;
+  if (IsSuccess(event) && is_timed) {
     services_[entry->class_name].Add(now_ - ended.started);
     owner.service.Add(now_ - ended.started);
   }
--- a/tests/request_core_test.cc
+++ b/tests/request_core_test.cc
@@ -269,6 +269,27 @@
   }
 }
 
+TEST_CASE("A pause is not taken for service time") {
+  request_world world(1, 4);
+  for (int i = 0; i < 100; ++i) {
+    world.Submit(0, "batch");
+    world.Run(milliseconds(5));
+  }
+  // The answers of these come while the gateway does not run.
+  for (int i = 0; i < 16; ++i) {
+    world.Submit(0, "batch");
+  }
+  world.gateways[0]->paused_until = world.now + seconds(30);
+  replies after;
+  for (int i = 0; i < 300; ++i) {
+    world.Run(milliseconds(100));
+    after.push_back(world.Submit(0, "batch"));
+  }
+  world.Run(seconds(20));
+  REQUIRE(world.gateways[0]->counters.Get("request_pause_noticed") > 0);
+  CHECK(Answered(after) == 300);
+}
+
 TEST_CASE("A leaving minion gets no new work") {
   request_world world(1, 4);
   auto& leaving = world.minions_by_name["m0"];
