Keep one search for a row, and one way to take a claim write back

Cause: leases and claims each had the same search of an answer's rows, and the claim writer began two functions with the same lines. Change: FindRow stands with the table port; claim_writer::TakeBack.

--- a/include/sassafras/platform/table_port.h
+++ b/include/sassafras/platform/table_port.h
@@ -19,6 +19,10 @@
   std::uint64_t version = 0;  ///< Changes with each write of the row.
 };
 
+/// Returns the row of `rows` under `key`, or null if there is none.
+const table_row* FindRow(const std::vector<table_row>& rows,
+                         const std::string& key);
+
 /// One conditional change of a row.
 struct table_write {
   std::string key;
--- a/include/sassafras/request/claim_writer.h
+++ b/include/sassafras/request/claim_writer.h
@@ -99,6 +99,8 @@
            table_row row,
            std::vector<claim_written>& ended);
   batch TakeBatch(store_call_id call);
+  /// The open write of a request whose store call has ended; null if none.
+  pending_write* TakeBack(request_id request);
 
   counter_table& counters_;
   next_call next_;
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -13,14 +13,6 @@
 constexpr int kRenewalsPerTerm = 3;
 constexpr std::size_t kMaxUnsettled = 16;
 
-const table_row* FindRow(const std::vector<table_row>& rows,
-                         const std::string& key) {
-  const auto it =
-      std::find_if(rows.begin(), rows.end(),
-                   [&](const table_row& row) { return row.key == key; });
-  return it == rows.end() ? nullptr : &*it;
-}
-
 }  // namespace
 
 bool IsClockRateSafe(const lease_options& options, double rate_difference) {
--- a/src/request/claim_writer.cc
+++ b/src/request/claim_writer.cc
@@ -12,14 +12,6 @@
 constexpr duration kRetryMax = std::chrono::seconds(2);
 constexpr int kMaxDoublings = 6;
 
-const table_row* FindRow(const std::vector<table_row>& rows,
-                         const std::string& key) {
-  const auto it =
-      std::find_if(rows.begin(), rows.end(),
-                   [&](const table_row& row) { return row.key == key; });
-  return it == rows.end() ? nullptr : &*it;
-}
-
 }  // namespace
 
 claim_writer::claim_writer(counter_table& counters, next_call next)
@@ -149,6 +141,15 @@
   End(pending.write.request, false, row, ended);
 }
 
+claim_writer::pending_write* claim_writer::TakeBack(request_id request) {
+  const auto it = writes_.find(request);
+  if (it == writes_.end()) {
+    return nullptr;
+  }
+  it->second.is_busy = false;
+  return &it->second;
+}
+
 std::vector<claim_written> claim_writer::OnCommitted(
     const rows_committed& event,
     instant now,
@@ -163,22 +164,20 @@
     counters_.Add("claim_commit_unknown");
   }
   for (const request_id request : requests) {
-    const auto it = writes_.find(request);
-    if (it == writes_.end()) {
+    pending_write* pending = TakeBack(request);
+    if (pending == nullptr) {
       continue;
     }
-    pending_write& pending = it->second;
-    pending.is_busy = false;
-    const table_row* row = FindRow(event.answer.rows, pending.write.key);
+    const table_row* row = FindRow(event.answer.rows, pending->write.key);
     if (is_done && row != nullptr) {
-      Settle(pending, {row->key, pending.sent.back(), row->version}, ended);
+      Settle(*pending, {row->key, pending->sent.back(), row->version}, ended);
     } else if (is_conflict) {
       if (row != nullptr) {
-        Settle(pending, *row, ended);
+        Settle(*pending, *row, ended);
       }
     } else {
       // An earlier try may be open even if this one certainly failed.
-      pending.needs_read = true;
+      pending->needs_read = true;
     }
   }
   return ended;
@@ -192,21 +191,19 @@
   const bool is_done = event.answer.state == answer_state::kDone;
   NoteStore(is_done, now, random);
   for (const request_id request : requests) {
-    const auto it = writes_.find(request);
-    if (it == writes_.end()) {
+    pending_write* pending = TakeBack(request);
+    if (pending == nullptr) {
       continue;
     }
-    pending_write& pending = it->second;
-    pending.is_busy = false;
-    const table_row* row = FindRow(event.answer.rows, pending.write.key);
+    const table_row* row = FindRow(event.answer.rows, pending->write.key);
     if (!is_done || row == nullptr) {
       continue;
     }
     // Reads lag, so that only a row of ours proves anything. Otherwise the
     // same condition is tried again: a conflict tells what the row is now.
-    pending.needs_read = false;
-    if (IsOurs(pending, *row)) {
-      Settle(pending, *row, ended);
+    pending->needs_read = false;
+    if (IsOurs(*pending, *row)) {
+      Settle(*pending, *row, ended);
     }
   }
   return ended;
