Name the model at each guard that it checks

Cause: who changes a guard has to see that a model depends on it. Change: one comment line at each function of the table in docs/design/proof.md. Result: comments only.

--- a/src/cluster/config_follower.cc
+++ b/src/cluster/config_follower.cc
@@ -46,6 +46,7 @@
   return version > VersionOf(current_);
 }
 
+// A guard of models/publication.pml.
 bool config_follower::Offer(config_ptr candidate) {
   if (!candidate || !IsNewer(candidate->version)) {
     return false;
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -112,10 +112,12 @@
   }
 }
 
+// A guard of models/placement.pml.
 bool lease::MayAct(instant now) const {
   return is_held_ && std::max(now, last_now_) + options_.margin < valid_until_;
 }
 
+// A guard of models/placement.pml.
 std::optional<table_write> lease::Guard() const {
   if (!is_held_) {
     return std::nullopt;
--- a/src/job/gang_driver.cc
+++ b/src/job/gang_driver.cc
@@ -72,6 +72,7 @@
   }
 }
 
+// A guard of models/gang.pml.
 void DriveRunning(tracked_job& job,
                   instant now,
                   const job_core_options& options,
@@ -115,6 +116,7 @@
                      });
 }
 
+// A guard of models/gang.pml.
 void DriveStopping(tracked_job& job,
                    instant now,
                    const job_core_options& options,
--- a/src/job/tracked_job.cc
+++ b/src/job/tracked_job.cc
@@ -105,6 +105,7 @@
 }
 
 // The row after every task has settled.
+// A guard of models/gang.pml.
 job_row Finished(const tracked_job& job, const transition_limits& limits) {
   job_row row = job.row;
   if (row.attempt_released && job.AllTasks(task_state::kEnded)) {
@@ -165,6 +166,7 @@
   return std::nullopt;
 }
 
+// A guard of models/gang.pml.
 std::optional<job_row> NextOfPlacing(const tracked_job& job,
                                      const transition_limits& limits,
                                      instant now) {
@@ -219,6 +221,7 @@
   });
 }
 
+// A guard of models/gang.pml.
 bool tracked_job::IsSettled(instant now) const {
   return std::all_of(tasks.begin(), tasks.end(), [&](const tracked_task& task) {
     return task.IsFinal() || now >= task.lapse;
--- a/src/request/claim_writer.cc
+++ b/src/request/claim_writer.cc
@@ -24,6 +24,7 @@
   writes_[request] = std::move(pending);
 }
 
+// A guard of models/claim.pml.
 bool claim_writer::Replace(request_id request, std::string value) {
   const auto it = writes_.find(request);
   if (it == writes_.end()) {
@@ -121,6 +122,7 @@
 }
 
 // Compares the row as it is now with what was asked for.
+// A guard of models/claim.pml.
 void claim_writer::Settle(pending_write& pending,
                           const table_row& row,
                           std::vector<claim_written>& ended) {
--- a/src/request/request_claims.cc
+++ b/src/request/request_claims.cc
@@ -77,6 +77,7 @@
 }
 
 // Decides by the row of the key how a submission goes on.
+// A guard of models/claim.pml.
 void request_core::impl::OnClaimRow(request_entry& entry,
                                     const table_row& row) {
   entry.row_version = row.version;
@@ -122,6 +123,7 @@
   }
 }
 
+// A guard of models/claim.pml.
 void request_core::impl::OnHeld(request_entry& entry,
                                 const claim_record& record) {
   if (entry.holder_token != record.token) {
@@ -138,6 +140,7 @@
 }
 
 // A holder that was never seen may be newer than what is known of members.
+// A guard of models/claim.pml.
 bool request_core::impl::IsHolderDead(const request_entry& entry,
                                       const gateway_member& holder) const {
   if (holder.id == options_.self.id) {
@@ -152,6 +155,7 @@
 }
 
 // The slot is held while the claim is written, but not for long.
+// A guard of models/claim.pml.
 void request_core::impl::StartClaim(request_entry& entry,
                                     const minion_id& minion) {
   entry.reserved = minion;
@@ -252,6 +256,7 @@
 
 // Gives a claim back before its dispatch. Nobody may run the request until
 // this is settled.
+// A guard of models/claim.pml.
 void request_core::impl::AbandonClaim(request_entry& entry) {
   ReleaseReserved(entry);
   SetWake(entry, std::nullopt);
