--- a/bench/capacity_jobs.cc
+++ b/bench/capacity_jobs.cc
@@ -5,7 +5,7 @@
 
 #include "bench/capacity_bench.h"
 #include "sassafras/job/job_core.h"
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 namespace sassafras {
 namespace {
--- a/bench/capacity_requests.cc
+++ b/bench/capacity_requests.cc
@@ -5,7 +5,7 @@
 
 #include "bench/capacity_bench.h"
 #include "sassafras/core/digest.h"
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 #include "sassafras/request/request_core.h"
 
 namespace sassafras {
--- a/fuzz/peer_fuzz.cc
+++ b/fuzz/peer_fuzz.cc
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "sassafras/cluster/membership_codec.h"
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/peer_codec.h"
 #include "sassafras/request/request_codec.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data,
--- a/fuzz/row_fuzz.cc
+++ b/fuzz/row_fuzz.cc
@@ -8,7 +8,7 @@
 
 #include "sassafras/cluster/config_follower.h"
 #include "sassafras/job/job_row.h"
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 #include "sassafras/request/claim_record.h"
 #include "sassafras/request/request_codec.h"
 
--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -10,7 +10,7 @@
 #include "sassafras/core/id.h"
 #include "sassafras/core/result.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras {
 
--- a/include/sassafras/cluster/membership_codec.h
+++ b/include/sassafras/cluster/membership_codec.h
@@ -6,7 +6,7 @@
 
 #include "sassafras/cluster/membership.h"
 #include "sassafras/core/result.h"
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/peer_codec.h"
 
 namespace sassafras {
 
--- a/include/sassafras/cluster/publication.h
+++ b/include/sassafras/cluster/publication.h
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "sassafras/cluster/config_follower.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras {
 
--- a/include/sassafras/core/error.h
+++ b/include/sassafras/core/error.h
@@ -44,6 +44,7 @@
   kInvalidConfig,        ///< The object set has faults.
   kInvalidSettings,      ///< The settings file has faults.
   kWrongCluster,         ///< A peer carries another cluster name.
+  kNoSuchJob,            ///< No job was accepted under this id.
   kInternal,             ///< An invariant did not hold.
 };
 
--- a/include/sassafras/job/job_event.h
+++ b/include/sassafras/job/job_event.h
@@ -10,8 +10,8 @@
 #include "sassafras/config/config_set.h"
 #include "sassafras/core/time.h"
 #include "sassafras/job/job_row.h"
-#include "sassafras/platform/table_port.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/table_port.h"
+#include "sassafras/net/worker_port.h"
 
 // What goes into job_core and what comes out of it.
 
--- a/include/sassafras/job/submission.h
+++ b/include/sassafras/job/submission.h
@@ -9,7 +9,7 @@
 #include "sassafras/core/error.h"
 #include "sassafras/core/result.h"
 #include "sassafras/job/job_row.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras::job {
 
--- a/include/sassafras/platform/answer.h
+++ b/include/sassafras/net/answer.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_ANSWER_H_
-#define SASSAFRAS_PLATFORM_ANSWER_H_
+#ifndef SASSAFRAS_NET_ANSWER_H_
+#define SASSAFRAS_NET_ANSWER_H_
 
 #include <cstdint>
 #include <string_view>
@@ -18,4 +18,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_ANSWER_H_
+#endif  // SASSAFRAS_NET_ANSWER_H_
--- a/include/sassafras/platform/http_adapters.h
+++ b/include/sassafras/net/http_adapters.h
@@ -1,17 +1,17 @@
-#ifndef SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
-#define SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
+#ifndef SASSAFRAS_NET_HTTP_ADAPTERS_H_
+#define SASSAFRAS_NET_HTTP_ADAPTERS_H_
 
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "sassafras/core/time.h"
-#include "sassafras/platform/http_client.h"
-#include "sassafras/platform/minion_port.h"
-#include "sassafras/platform/object_port.h"
-#include "sassafras/platform/table_port.h"
-#include "sassafras/platform/vm_list_port.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/http_client.h"
+#include "sassafras/net/minion_port.h"
+#include "sassafras/net/object_port.h"
+#include "sassafras/net/table_port.h"
+#include "sassafras/net/vm_list_port.h"
+#include "sassafras/net/worker_port.h"
 
 namespace sassafras {
 
@@ -34,4 +34,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_HTTP_ADAPTERS_H_
+#endif  // SASSAFRAS_NET_HTTP_ADAPTERS_H_
--- a/include/sassafras/platform/http_client.h
+++ b/include/sassafras/net/http_client.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_HTTP_CLIENT_H_
-#define SASSAFRAS_PLATFORM_HTTP_CLIENT_H_
+#ifndef SASSAFRAS_NET_HTTP_CLIENT_H_
+#define SASSAFRAS_NET_HTTP_CLIENT_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -9,9 +9,9 @@
 
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/answer.h"
-#include "sassafras/platform/http_types.h"
-#include "sassafras/platform/minion_port.h"
+#include "sassafras/net/answer.h"
+#include "sassafras/net/http_types.h"
+#include "sassafras/net/minion_port.h"
 
 namespace sassafras {
 
@@ -65,4 +65,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_HTTP_CLIENT_H_
+#endif  // SASSAFRAS_NET_HTTP_CLIENT_H_
--- a/include/sassafras/platform/http_server.h
+++ b/include/sassafras/net/http_server.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_HTTP_SERVER_H_
-#define SASSAFRAS_PLATFORM_HTTP_SERVER_H_
+#ifndef SASSAFRAS_NET_HTTP_SERVER_H_
+#define SASSAFRAS_NET_HTTP_SERVER_H_
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -10,7 +10,7 @@
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/result.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/http_types.h"
+#include "sassafras/net/http_types.h"
 
 namespace sassafras {
 
@@ -56,6 +56,10 @@
   /// answer. Returns at once; Connections() falls to 0.
   void Drain();
 
+  /// Closes each connection after its next answer, and goes on to accept new
+  /// ones.
+  void CloseAfterAnswers();
+
   /// Number of open connections.
   int Connections() const;
 
@@ -67,4 +71,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_HTTP_SERVER_H_
+#endif  // SASSAFRAS_NET_HTTP_SERVER_H_
--- a/include/sassafras/platform/http_types.h
+++ b/include/sassafras/net/http_types.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_HTTP_TYPES_H_
-#define SASSAFRAS_PLATFORM_HTTP_TYPES_H_
+#ifndef SASSAFRAS_NET_HTTP_TYPES_H_
+#define SASSAFRAS_NET_HTTP_TYPES_H_
 
 #include <functional>
 #include <map>
@@ -43,4 +43,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_HTTP_TYPES_H_
+#endif  // SASSAFRAS_NET_HTTP_TYPES_H_
--- a/include/sassafras/platform/json_codec.h
+++ b/include/sassafras/net/json_codec.h
@@ -1,14 +1,14 @@
-#ifndef SASSAFRAS_PLATFORM_JSON_CODEC_H_
-#define SASSAFRAS_PLATFORM_JSON_CODEC_H_
+#ifndef SASSAFRAS_NET_JSON_CODEC_H_
+#define SASSAFRAS_NET_JSON_CODEC_H_
 
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "sassafras/core/result.h"
-#include "sassafras/platform/table_port.h"
-#include "sassafras/platform/vm_list_port.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/table_port.h"
+#include "sassafras/net/vm_list_port.h"
+#include "sassafras/net/worker_port.h"
 
 // JSON bodies of the platform's and the workers' HTTP interfaces. Unknown
 // fields are ignored. Every Decode function fails with kMalformed.
@@ -32,4 +32,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_JSON_CODEC_H_
+#endif  // SASSAFRAS_NET_JSON_CODEC_H_
--- a/include/sassafras/platform/minion_port.h
+++ b/include/sassafras/net/minion_port.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_MINION_PORT_H_
-#define SASSAFRAS_PLATFORM_MINION_PORT_H_
+#ifndef SASSAFRAS_NET_MINION_PORT_H_
+#define SASSAFRAS_NET_MINION_PORT_H_
 
 #include <cstdint>
 #include <functional>
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "sassafras/core/time.h"
-#include "sassafras/platform/answer.h"
+#include "sassafras/net/answer.h"
 
 namespace sassafras {
 
@@ -53,4 +53,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_MINION_PORT_H_
+#endif  // SASSAFRAS_NET_MINION_PORT_H_
--- a/include/sassafras/platform/nng_peers.h
+++ b/include/sassafras/net/nng_peers.h
@@ -1,12 +1,12 @@
-#ifndef SASSAFRAS_PLATFORM_NNG_PEERS_H_
-#define SASSAFRAS_PLATFORM_NNG_PEERS_H_
+#ifndef SASSAFRAS_NET_NNG_PEERS_H_
+#define SASSAFRAS_NET_NNG_PEERS_H_
 
 #include <memory>
 #include <string>
 
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/result.h"
-#include "sassafras/platform/peer_port.h"
+#include "sassafras/net/peer_port.h"
 
 namespace sassafras {
 
@@ -41,4 +41,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_NNG_PEERS_H_
+#endif  // SASSAFRAS_NET_NNG_PEERS_H_
--- a/include/sassafras/platform/object_port.h
+++ b/include/sassafras/net/object_port.h
@@ -1,10 +1,10 @@
-#ifndef SASSAFRAS_PLATFORM_OBJECT_PORT_H_
-#define SASSAFRAS_PLATFORM_OBJECT_PORT_H_
+#ifndef SASSAFRAS_NET_OBJECT_PORT_H_
+#define SASSAFRAS_NET_OBJECT_PORT_H_
 
 #include <functional>
 #include <string>
 
-#include "sassafras/platform/answer.h"
+#include "sassafras/net/answer.h"
 
 namespace sassafras {
 
@@ -30,4 +30,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_OBJECT_PORT_H_
+#endif  // SASSAFRAS_NET_OBJECT_PORT_H_
--- a/include/sassafras/platform/peer_codec.h
+++ b/include/sassafras/net/peer_codec.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_PEER_CODEC_H_
-#define SASSAFRAS_PLATFORM_PEER_CODEC_H_
+#ifndef SASSAFRAS_NET_PEER_CODEC_H_
+#define SASSAFRAS_NET_PEER_CODEC_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -33,4 +33,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_PEER_CODEC_H_
+#endif  // SASSAFRAS_NET_PEER_CODEC_H_
--- a/include/sassafras/platform/peer_port.h
+++ b/include/sassafras/net/peer_port.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_PEER_PORT_H_
-#define SASSAFRAS_PLATFORM_PEER_PORT_H_
+#ifndef SASSAFRAS_NET_PEER_PORT_H_
+#define SASSAFRAS_NET_PEER_PORT_H_
 
 #include <functional>
 #include <string>
@@ -20,4 +20,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_PEER_PORT_H_
+#endif  // SASSAFRAS_NET_PEER_PORT_H_
--- a/include/sassafras/platform/table_port.h
+++ b/include/sassafras/net/table_port.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_TABLE_PORT_H_
-#define SASSAFRAS_PLATFORM_TABLE_PORT_H_
+#ifndef SASSAFRAS_NET_TABLE_PORT_H_
+#define SASSAFRAS_NET_TABLE_PORT_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -8,7 +8,8 @@
 #include <vector>
 
 #include "sassafras/core/error.h"
-#include "sassafras/platform/answer.h"
+#include "sassafras/core/time.h"
+#include "sassafras/net/answer.h"
 
 namespace sassafras {
 
@@ -17,6 +18,7 @@
   std::string key;
   std::string value;          ///< JSON by convention of the row's owner.
   std::uint64_t version = 0;  ///< Changes with each write of the row.
+  bool is_erased = false;     ///< Of a followed change: the row is gone.
 };
 
 /// Returns the row of `rows` under `key`, or null if there is none.
@@ -48,6 +50,16 @@
 struct read_answer {
   answer_state state = answer_state::kNotDone;
   std::vector<table_row> rows;
+  std::uint64_t store_version = 0;  ///< 0: the store states none.
+  bool has_more = false;            ///< Of a scan, if the store says so.
+};
+
+/// Answer to following a table: changes in order, or none in time.
+struct follow_answer {
+  answer_state state = answer_state::kNotDone;
+  bool is_history_gone = false;  ///< Read the table anew. Not kDone.
+  std::vector<table_row> rows;
+  std::uint64_t store_version = 0;  ///< To follow on from, if kDone.
 };
 
 /// The platform's transactional table service. Each hook calls `done` exactly
@@ -70,8 +82,16 @@
                      std::size_t limit,
                      std::function<void(read_answer)> done)>
       scan;
+
+  /// Waits up to `wait` for rows whose keys begin with `prefix` to change
+  /// after version `after`. Empty where the store offers no such call.
+  std::function<void(std::string prefix,
+                     std::uint64_t after,
+                     duration wait,
+                     std::function<void(follow_answer)> done)>
+      follow;
 };
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_TABLE_PORT_H_
+#endif  // SASSAFRAS_NET_TABLE_PORT_H_
--- a/include/sassafras/platform/vm_list_port.h
+++ b/include/sassafras/net/vm_list_port.h
@@ -1,11 +1,11 @@
-#ifndef SASSAFRAS_PLATFORM_VM_LIST_PORT_H_
-#define SASSAFRAS_PLATFORM_VM_LIST_PORT_H_
+#ifndef SASSAFRAS_NET_VM_LIST_PORT_H_
+#define SASSAFRAS_NET_VM_LIST_PORT_H_
 
 #include <functional>
 #include <string>
 #include <vector>
 
-#include "sassafras/platform/answer.h"
+#include "sassafras/net/answer.h"
 
 namespace sassafras {
 
@@ -29,4 +29,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_VM_LIST_PORT_H_
+#endif  // SASSAFRAS_NET_VM_LIST_PORT_H_
--- a/include/sassafras/platform/worker_port.h
+++ b/include/sassafras/net/worker_port.h
@@ -1,5 +1,5 @@
-#ifndef SASSAFRAS_PLATFORM_WORKER_PORT_H_
-#define SASSAFRAS_PLATFORM_WORKER_PORT_H_
+#ifndef SASSAFRAS_NET_WORKER_PORT_H_
+#define SASSAFRAS_NET_WORKER_PORT_H_
 
 #include <cstdint>
 #include <functional>
@@ -9,7 +9,7 @@
 
 #include "sassafras/core/id.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/answer.h"
+#include "sassafras/net/answer.h"
 #include "sassafras/world/resources.h"
 
 namespace sassafras {
@@ -109,4 +109,4 @@
 
 }  // namespace sassafras
 
-#endif  // SASSAFRAS_PLATFORM_WORKER_PORT_H_
+#endif  // SASSAFRAS_NET_WORKER_PORT_H_
--- a/include/sassafras/request/request_codec.h
+++ b/include/sassafras/request/request_codec.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "sassafras/platform/minion_port.h"
+#include "sassafras/net/minion_port.h"
 #include "sassafras/request/request_events.h"
 
 namespace sassafras {
--- a/include/sassafras/request/request_events.h
+++ b/include/sassafras/request/request_events.h
@@ -11,9 +11,9 @@
 #include "sassafras/core/error.h"
 #include "sassafras/core/id.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/answer.h"
-#include "sassafras/platform/minion_port.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/answer.h"
+#include "sassafras/net/minion_port.h"
+#include "sassafras/net/table_port.h"
 
 // What request_core takes in and what it asks for. Bodies of requests and
 // answers stay in the shell, under the ids of requests and sends.
--- a/programs/ctl/blocking_ports.h
+++ b/programs/ctl/blocking_ports.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "sassafras/core/counter_table.h"
-#include "sassafras/platform/http_adapters.h"
+#include "sassafras/net/http_adapters.h"
 
 namespace sassafras {
 
--- a/programs/load/load_driver.h
+++ b/programs/load/load_driver.h
@@ -12,7 +12,7 @@
 #include "programs/load/load_record.h"
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/random.h"
-#include "sassafras/platform/http_client.h"
+#include "sassafras/net/http_client.h"
 
 namespace sassafras {
 
--- a/programs/standin/fault_switch.h
+++ b/programs/standin/fault_switch.h
@@ -7,7 +7,7 @@
 
 #include "sassafras/core/random.h"
 #include "sassafras/core/time.h"
-#include "sassafras/platform/http_server.h"
+#include "sassafras/net/http_server.h"
 
 namespace sassafras {
 
--- a/programs/standin/main.cc
+++ b/programs/standin/main.cc
@@ -11,7 +11,7 @@
 #include "programs/standin/minion_service.h"
 #include "programs/standin/platform_store.h"
 #include "programs/standin/worker_tasks.h"
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 namespace sassafras {
 namespace {
--- a/programs/standin/minion_service.h
+++ b/programs/standin/minion_service.h
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "programs/standin/fault_switch.h"
-#include "sassafras/platform/http_server.h"
+#include "sassafras/net/http_server.h"
 
 namespace sassafras {
 
--- a/programs/standin/platform_store.cc
+++ b/programs/standin/platform_store.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 namespace sassafras {
 namespace {
--- a/programs/standin/platform_store.h
+++ b/programs/standin/platform_store.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "sassafras/core/time.h"
-#include "sassafras/platform/http_types.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/http_types.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras {
 
--- a/programs/standin/worker_tasks.cc
+++ b/programs/standin/worker_tasks.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 namespace sassafras {
 namespace {
--- a/programs/standin/worker_tasks.h
+++ b/programs/standin/worker_tasks.h
@@ -5,8 +5,8 @@
 #include <string>
 
 #include "sassafras/core/time.h"
-#include "sassafras/platform/http_types.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/http_types.h"
+#include "sassafras/net/worker_port.h"
 
 namespace sassafras {
 
--- a/src/core/error.cc
+++ b/src/core/error.cc
@@ -39,6 +39,7 @@
     {error_kind::kInvalidConfig, "invalid_config", 422, kNotRun, false, "refused_invalid_config", "The object set has faults."},
     {error_kind::kInvalidSettings, "invalid_settings", 400, kNotRun, false, "refused_invalid_settings", "The settings file has faults."},
     {error_kind::kWrongCluster, "wrong_cluster", 403, kNotRun, false, "refused_wrong_cluster", "The peer belongs to another cluster."},
+    {error_kind::kNoSuchJob, "no_such_job", 410, kNotRun, false, "refused_no_such_job", "No job was accepted under this id."},
     {error_kind::kInternal, "internal", 500, kUnknown, false, "failed_internal", "An invariant did not hold."},
 }};
 // clang-format on
--- a/src/job/tracked_job.h
+++ b/src/job/tracked_job.h
@@ -10,7 +10,7 @@
 #include "sassafras/core/time.h"
 #include "sassafras/job/job_row.h"
 #include "sassafras/job/planner.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/worker_port.h"
 
 namespace sassafras::job {
 
--- a/src/platform/http_adapters.cc
+++ b/src/net/http_adapters.cc
@@ -1,9 +1,9 @@
-#include "sassafras/platform/http_adapters.h"
+#include "sassafras/net/http_adapters.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 namespace sassafras {
 namespace {
--- a/src/platform/http_client.cc
+++ b/src/net/http_client.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/http_client.h"
+#include "sassafras/net/http_client.h"
 
 #include <algorithm>
 #include <boost/asio/dispatch.hpp>
@@ -14,7 +14,7 @@
 #include <vector>
 
 #include "sassafras/config/address.h"
-#include "src/platform/socket_options.h"
+#include "src/net/socket_options.h"
 
 namespace sassafras {
 namespace {
--- a/src/platform/http_server.cc
+++ b/src/net/http_server.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/http_server.h"
+#include "sassafras/net/http_server.h"
 
 #include <algorithm>
 #include <atomic>
@@ -14,7 +14,7 @@
 #include <set>
 
 #include "sassafras/config/address.h"
-#include "src/platform/socket_options.h"
+#include "src/net/socket_options.h"
 
 namespace sassafras {
 namespace {
@@ -94,6 +94,8 @@
   }
 
   bool IsDraining() const { return draining_.load(); }
+  bool KeepsAlive() const { return !draining_.load() && !closing_.load(); }
+  void CloseAfterAnswers() { closing_.store(true); }
   const http_server_options& Options() const { return options_; }
   counter_table& Counters() { return counters_; }
   const handler& Handle() const { return handle_; }
@@ -105,6 +107,7 @@
   asio::io_context& context_;
   tcp::acceptor acceptor_;
   std::atomic<bool> draining_{false};
+  std::atomic<bool> closing_{false};
   mutable std::mutex mutex_;
   std::set<session*> sessions_;
 };
@@ -257,7 +260,7 @@
   }
 
   void Write(http_response response) {
-    keep_alive_ = keep_alive_ && !owner_->IsDraining();
+    keep_alive_ = keep_alive_ && owner_->KeepsAlive();
     message_.emplace(static_cast<http::status>(response.status), 11);
     for (const auto& [name, value] : response.headers) {
       message_->set(name, value);
@@ -412,6 +415,10 @@
   impl_->Drain();
 }
 
+void http_server::CloseAfterAnswers() {
+  impl_->CloseAfterAnswers();
+}
+
 int http_server::Connections() const {
   return impl_->Connections();
 }
--- a/src/platform/http_types.cc
+++ b/src/net/http_types.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/http_types.h"
+#include "sassafras/net/http_types.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/platform/json_codec.cc
+++ b/src/net/json_codec.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 #include <array>
 #include <nlohmann/json.hpp>
--- a/src/platform/names.cc
+++ b/src/net/names.cc
@@ -1,7 +1,7 @@
 #include <array>
 
-#include "sassafras/platform/answer.h"
-#include "sassafras/platform/worker_port.h"
+#include "sassafras/net/answer.h"
+#include "sassafras/net/worker_port.h"
 
 namespace sassafras {
 
--- a/src/platform/nng_peers.cc
+++ b/src/net/nng_peers.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/nng_peers.h"
+#include "sassafras/net/nng_peers.h"
 
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
--- a/src/platform/peer_codec.cc
+++ b/src/net/peer_codec.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/peer_codec.h"
 
 #include <utility>
 #include <vector>
--- a/src/platform/socket_options.cc
+++ b/src/net/socket_options.cc
@@ -1,4 +1,4 @@
-#include "src/platform/socket_options.h"
+#include "src/net/socket_options.h"
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
--- a/src/platform/table_port.cc
+++ b/src/net/table_port.cc
@@ -1,4 +1,4 @@
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 #include <algorithm>
 
--- a/src/request/request_codec.cc
+++ b/src/request/request_codec.cc
@@ -2,7 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/peer_codec.h"
 
 namespace sassafras {
 namespace {
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras {
 
--- a/tests/gateway_test.cc
+++ b/tests/gateway_test.cc
@@ -12,7 +12,7 @@
 #include "programs/standin/platform_store.h"
 #include "sassafras/config/config_parse.h"
 #include "sassafras/core/digest.h"
-#include "sassafras/platform/json_codec.h"
+#include "sassafras/net/json_codec.h"
 
 // The threads of a whole gateway over real sockets. The thread sanitizer runs
 // this file in CI.
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -6,9 +6,9 @@
 #include <string>
 #include <thread>
 
-#include "sassafras/platform/http_adapters.h"
-#include "sassafras/platform/http_client.h"
-#include "sassafras/platform/http_server.h"
+#include "sassafras/net/http_adapters.h"
+#include "sassafras/net/http_client.h"
+#include "sassafras/net/http_server.h"
 
 namespace sassafras {
 namespace {
--- a/tests/request_codec_test.cc
+++ b/tests/request_codec_test.cc
@@ -1,6 +1,6 @@
 #include <catch2/catch.hpp>
 
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/peer_codec.h"
 #include "sassafras/request/request_codec.h"
 
 namespace sassafras {
--- a/tests/soak_store.h
+++ b/tests/soak_store.h
@@ -6,8 +6,8 @@
 #include <string>
 #include <utility>
 
-#include "sassafras/platform/object_port.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/object_port.h"
+#include "sassafras/net/table_port.h"
 #include "tests/soak_driver.h"
 
 namespace sassafras {
