--- /dev/null
+++ b/include/sassafras/sched/minion_orders.h
@@ -0,0 +1,129 @@
+#ifndef SASSAFRAS_SCHED_MINION_ORDERS_H_
+#define SASSAFRAS_SCHED_MINION_ORDERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sassafras/core/time.h"
+#include "sassafras/sched/job_model.h"
+
+namespace sassafras::sched {
+
+/// What a minion says of itself in the platform's list.
+struct minion_report {
+  std::string id;
+  std::int64_t born_unix_ms = 0;  ///< Names this life of the minion.
+  std::string service;
+  std::string address;  ///< "IP:port".
+  std::string zone;
+  bool is_draining = false;
+  duration drain_remaining{0};  ///< Least time until it leaves, if draining.
+  room capacity;
+  std::vector<std::string> labels;
+  std::string rack;  ///< Empty if it names none.
+};
+
+/// One life of a minion, as an order names it.
+struct minion_life {
+  std::string id;
+  std::int64_t born_unix_ms = 0;
+  std::string address;
+
+  bool IsSameLife(const minion_life& other) const {
+    return id == other.id && born_unix_ms == other.born_unix_ms;
+  }
+};
+
+/// What is known of an order's effect.
+enum class order_outcome : std::uint8_t {
+  kDone,
+  kFenced,     ///< A higher fence stands there. Nothing was done.
+  kOldRun,     ///< This run or a higher one ended or was stopped there.
+  kTooLate,    ///< The lease of the order had run out. Nothing was done.
+  kNoRoom,     ///< The minion refused for want of room.
+  kUnhealthy,  ///< The minion refused without doing anything.
+  kOtherLife,  ///< Another life of the minion answered. Nothing was done.
+  kRejected,   ///< Any other refusal. Nothing was done.
+  kNotSent,    ///< No byte left this process.
+  kUnknown,    ///< No whole answer; it may be carried out, also later.
+};
+
+/// Names of order_outcome in logs and counters.
+std::string_view GetName(order_outcome outcome);
+
+/// Tells a minion to start a run. Sending it twice starts it once.
+struct start_order {
+  minion_life minion;
+  run_key run;
+  std::string payload;
+  std::string checkpoint;           ///< Empty: from the beginning.
+  std::int64_t until_clock_ms = 0;  ///< Lease, on the minion's clock.
+  std::uint64_t fence = 0;
+};
+
+/// Tells a minion to stop a run, and never to start it if it is not there.
+struct stop_order {
+  minion_life minion;
+  run_key run;
+  std::uint64_t fence = 0;
+};
+
+struct order_answer {
+  order_outcome outcome = order_outcome::kUnknown;
+};
+
+/// Asks a minion what it runs and what has ended; renews its lease.
+struct look_order {
+  minion_life minion;
+  std::uint64_t fence = 0;
+  std::int64_t acknowledged = 0;  ///< Ends up to this number are forgotten.
+  std::optional<std::int64_t> until_clock_ms;
+  duration wait{0};       ///< The answer waits for an end for so long.
+  bool is_extra = false;  ///< Sent beside the regular look.
+};
+
+/// A run that is going on at a minion.
+struct listed_run {
+  run_key run;
+  std::string checkpoint;
+  int percent = 0;  ///< Progress as the minion states it.
+};
+
+/// An end that a minion lists until it is acknowledged.
+struct listed_end {
+  std::int64_t number = 0;  ///< From 1 in each life, rising.
+  run_key run;
+  run_end how = run_end::kLost;
+  std::string checkpoint;
+};
+
+struct look_answer {
+  order_outcome outcome = order_outcome::kUnknown;
+  std::int64_t clock_ms = 0;      ///< The minion's clock.
+  std::int64_t born_unix_ms = 0;  ///< 0: not stated.
+  std::vector<listed_run> running;
+  std::vector<listed_end> ended;
+  int skipped_rows = 0;  ///< Rows that could not be decoded.
+};
+
+/// Calls to minions. Each hook calls `done` exactly once.
+struct order_port {
+  std::function<void(start_order, std::function<void(order_answer)> done)>
+      start;
+  std::function<void(stop_order, std::function<void(order_answer)> done)> stop;
+  std::function<void(look_order, std::function<void(look_answer)> done)> look;
+};
+
+/// The platform's list of minions.
+struct minion_list_answer {
+  bool is_whole = false;  ///< The list was read; else `minions` is empty.
+  std::vector<minion_report> minions;
+  int skipped = 0;  ///< Entries that name no minion to use.
+};
+
+}  // namespace sassafras::sched
+
+#endif  // SASSAFRAS_SCHED_MINION_ORDERS_H_
--- /dev/null
+++ b/include/sassafras/sched/work_core.h
@@ -0,0 +1,132 @@
+#ifndef SASSAFRAS_SCHED_WORK_CORE_H_
+#define SASSAFRAS_SCHED_WORK_CORE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "sassafras/core/counter_table.h"
+#include "sassafras/core/time.h"
+#include "sassafras/net/table_port.h"
+#include "sassafras/sched/job_codec.h"
+#include "sassafras/sched/job_model.h"
+#include "sassafras/sched/minion_orders.h"
+#include "sassafras/sched/service_config.h"
+
+namespace sassafras::sched {
+
+/// Bounds that the platform states, and limits of the owner's own.
+struct work_options {
+  duration greatest_lease{6'000'000};     ///< A minion shortens longer ones.
+  duration stop_time{400'000};            ///< Longest time a stop takes.
+  duration gang_timeout{3'000'000};       ///< A gang must be whole within it.
+  duration state_retention{150'000'000};  ///< Of rows of ended jobs.
+};
+
+/// Something that the core decided or learnt, for the log.
+struct work_note {
+  std::string_view event;
+  std::string job;
+  std::string task;  ///< "OCCURRENCE.STEP.INDEX#RUN", or empty.
+  std::string minion;
+  std::string detail;  ///< What decided it.
+};
+
+/// What the caller of work_core carries out, in this order.
+struct work_actions {
+  std::optional<table_transaction> commit;  ///< Answered by OnCommit().
+  std::vector<start_order> starts;
+  std::vector<stop_order> stops;
+  std::vector<look_order> looks;
+  std::vector<work_note> notes;
+};
+
+/// Jobs of one queue, and what one minion looks like, for status pages.
+struct minion_status {
+  std::string id;
+  std::string service;
+  std::string health;  ///< "usable", or why it gets no tasks.
+  room capacity;
+  room used;
+  int runs = 0;
+};
+
+/// An ended job whose rows may go.
+struct expired_job {
+  std::string id;
+  std::uint64_t accepted_version = 0;
+  std::uint64_t record_version = 0;
+};
+
+/// All decisions of the owner of the jobs: which task runs where, what is
+/// recorded before an order leaves, when a run is certainly over. It holds no
+/// clock, thread or socket; events come in, actions go out. Not safe for
+/// concurrent use.
+///
+/// A start leaves only after the record that names its minion is durable. A
+/// task is started again only when its earlier run is certainly over: its end
+/// was listed, a minion that was told to stop it lists it no more, its minion
+/// was reborn, or its lease has run out.
+class work_core {
+ public:
+  /// `fence` is the token of this tenure, `now` the time of its beginning.
+  work_core(work_options options,
+            std::uint64_t fence,
+            instant now,
+            counter_table& counters);
+  ~work_core();
+  work_core(const work_core&) = delete;
+  work_core& operator=(const work_core&) = delete;
+
+  void OnConfig(service_config_ptr config);
+
+  /// Takes in a job's row and, at the beginning of a tenure, its record.
+  void OnJob(instant now,
+             const accepted_job& job,
+             std::uint64_t accepted_version,
+             const std::optional<job_record>& record,
+             std::uint64_t record_version);
+
+  /// The caller of job `id` has cancelled it.
+  void OnCancel(instant now, const std::string& id);
+
+  /// Takes in the platform's list of minions, whole.
+  void OnMinions(instant now, const std::vector<minion_report>& minions);
+
+  void OnStarted(instant now, const start_order& order, order_answer answer);
+  void OnStopped(instant now, const stop_order& order, order_answer answer);
+  void OnLooked(instant now,
+                instant sent,
+                const look_order& order,
+                const look_answer& answer);
+  void OnCommit(instant now, const commit_answer& answer);
+
+  /// Decides what to do. `wall_unix_ms` is the time of day.
+  work_actions Decide(instant now, std::int64_t wall_unix_ms);
+
+  /// Accepted jobs without due times of which no task has started, by queue.
+  std::map<std::string, int> WaitingByQueue() const;
+
+  /// State of job `id`, empty if it is not known.
+  std::optional<job_state> StateOf(const std::string& id) const;
+
+  /// One sentence about job `id`, empty if it is not known.
+  std::string Explain(const std::string& id) const;
+
+  std::vector<minion_status> Minions() const;
+
+  /// Up to `most` jobs that ended longer than the retention ago; forgets them.
+  std::vector<expired_job> TakeExpired(instant now, std::size_t most);
+
+ private:
+  class impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace sassafras::sched
+
+#endif  // SASSAFRAS_SCHED_WORK_CORE_H_
--- /dev/null
+++ b/programs/entry/config_watch.h
@@ -0,0 +1,58 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_CONFIG_WATCH_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_CONFIG_WATCH_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+
+#include "programs/entry/outside.h"
+#include "sassafras/core/counter_table.h"
+
+namespace sassafras {
+
+/// Follows the operator's configuration in the store. A version in force is
+/// never replaced by an older one. Safe to use from several threads.
+class config_watch : public std::enable_shared_from_this<config_watch> {
+ public:
+  struct hooks {
+    std::function<instant()> now;
+    /// Calls `action` once after `delay`.
+    std::function<void(duration delay, std::function<void()> action)> after;
+    /// Called after a newer version came into force.
+    std::function<void(sched::service_config_ptr)> on_config;
+  };
+
+  static std::shared_ptr<config_watch> Make(const outside& world,
+                                            counter_table& counters,
+                                            hooks program);
+
+  /// Begins to read and to follow. Call once.
+  void Start();
+
+  /// The version in force, null before the first.
+  sched::service_config_ptr Current() const;
+
+  /// Time since the store last confirmed the version in force: since the call
+  /// that it answered had left. Never less than the true age.
+  duration Age() const;
+
+ private:
+  config_watch(const outside& world, counter_table& counters, hooks program);
+  void Read();
+  void Follow();
+  void Retry(void (config_watch::*step)());
+  void Adopt(const table_row& row);
+  void Confirm(instant sent, std::uint64_t store_version);
+
+  const outside& world_;
+  counter_table& counters_;
+  const hooks program_;
+  mutable std::mutex mutex_;
+  sched::service_config_ptr current_;
+  instant confirmed_at_;
+  std::uint64_t store_version_ = 0;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_CONFIG_WATCH_H_
--- /dev/null
+++ b/programs/entry/entry_node.cc
@@ -0,0 +1,251 @@
+#include "programs/entry/entry_node.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <csignal>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <vector>
+
+#include "programs/entry/clock.h"
+#include "programs/shell/command_line.h"
+#include "sassafras/telemetry/log.h"
+
+namespace sassafras {
+namespace {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+constexpr int kOk = 200;
+constexpr int kServiceUnavailable = 503;
+constexpr std::uint64_t kMaxBodyBytes = 1 << 20;
+// The balancer needs two misses, a second apart, to send no new connections;
+// until then they are served.
+constexpr double kServeShareOfGrace = 0.6;
+// The rest is for answers under way and the exit itself.
+constexpr double kEndShareOfGrace = 0.85;
+constexpr duration kStopCheckInterval = 50ms;
+// A connection to the store or a minion that does not acknowledge for so long
+// is given up: below the shortest lease in use.
+constexpr duration kUserTimeout = 2s;
+constexpr duration kConnectTimeout = 700ms;
+
+http_client_options ClientOptions() {
+  http_client_options options;
+  options.connect_timeout = kConnectTimeout;
+  options.tcp_user_timeout = kUserTimeout;
+  return options;
+}
+
+duration Share(duration whole, double share) {
+  return std::chrono::duration_cast<duration>(whole * share);
+}
+
+}  // namespace
+
+entry_node::entry_node(entry_settings settings,
+                       std::string settings_path,
+                       const make_outside& make)
+    : settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      metrics_(counters_),
+      context_(settings_.threads),
+      signals_(context_),
+      client_(http_client::Make(context_, ClientOptions(), counters_)),
+      world_(make(client_, settings_.store, counters_)),
+      store_(SuspendAwareNow, counters_),
+      table_(store_.Wrap(world_.table)) {}
+
+entry_node::~entry_node() = default;
+
+void entry_node::After(duration delay, std::function<void()> action) {
+  const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
+  timer->async_wait([timer, action = std::move(action)](
+                        const boost::system::error_code& code) {
+    if (!code) {
+      action();
+    }
+  });
+}
+
+int entry_node::Run() {
+  StartLog(settings_.id.value);
+  const auto after = [this](duration delay, std::function<void()> action) {
+    After(delay, std::move(action));
+  };
+  owner_ = job_owner::Make(world_, table_, settings_, counters_, metrics_,
+                           {SuspendAwareNow, WallUnixMs, after});
+  config_ = config_watch::Make(
+      world_, counters_,
+      {SuspendAwareNow, after, [this](sched::service_config_ptr config) {
+         owner_->OnConfig(std::move(config));
+       }});
+  callers_ = caller_service::Make({world_, table_, store_, *config_, settings_,
+                                   counters_, metrics_, SuspendAwareNow});
+  if (!Listen()) {
+    return 1;
+  }
+  WaitForSignals();
+  config_->Start();
+  owner_->Start();
+  LogEvent("process_started", {{"callers", settings_.callers},
+                               {"place", settings_.place.value},
+                               {"version", SASSAFRAS_VERSION}});
+  std::vector<std::thread> pool;
+  for (int i = 1; i < settings_.threads; ++i) {
+    pool.emplace_back([this] { context_.run(); });
+  }
+  context_.run();
+  for (std::thread& thread : pool) {
+    thread.join();
+  }
+  LogEvent("process_stopped",
+           {{"cut", std::to_string(callers_->InProgress())}});
+  return 0;
+}
+
+std::shared_ptr<http_server> entry_node::Serve(const std::string& address,
+                                               http_server::handler handle) {
+  http_server_options options;
+  options.address = address;
+  options.max_body_bytes = kMaxBodyBytes;
+  auto server =
+      http_server::Make(context_, options, counters_, std::move(handle));
+  if (!server) {
+    std::cerr << server.error().detail << '\n';
+    return nullptr;
+  }
+  return server.value();
+}
+
+bool entry_node::Listen() {
+  caller_server_ = Serve(settings_.callers, [this](http_exchange exchange) {
+    callers_->Handle(std::move(exchange));
+  });
+  ready_server_ = Serve(
+      settings_.readiness,
+      [this](const http_exchange& exchange) { AnswerReadiness(exchange); });
+  status_server_ =
+      Serve(settings_.status,
+            [this](const http_exchange& exchange) { AnswerStatus(exchange); });
+  return caller_server_ && ready_server_ && status_server_;
+}
+
+void entry_node::AnswerReadiness(const http_exchange& exchange) {
+  http_response response;
+  const bool is_ready = !is_stopping_ && callers_->IsReady();
+  response.status = is_ready ? kOk : kServiceUnavailable;
+  response.body = is_ready ? "{\"ready\":true}" : "{\"ready\":false}";
+  exchange.reply(std::move(response));
+}
+
+void entry_node::AnswerStatus(const http_exchange& exchange) {
+  constexpr std::string_view kExplainPrefix = "/v1/jobs/";
+  const std::string& path = exchange.request.path;
+  http_response response;
+  if (path == "/metrics") {
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = metrics_.ToText();
+  } else if (path.starts_with(kExplainPrefix)) {
+    const std::string job = path.substr(kExplainPrefix.size());
+    response.body = nlohmann::json{{"job", job},
+                                   {"owner", owner_->LastOwner()},
+                                   {"sentence", owner_->Explain(job)}}
+                        .dump();
+  } else if (path == "/v1/status") {
+    nlohmann::json minions = nlohmann::json::array();
+    for (const sched::minion_status& row : owner_->Minions()) {
+      minions.push_back({{"id", row.id},
+                         {"service", row.service},
+                         {"health", row.health},
+                         {"runs", row.runs},
+                         {"accelerators", row.capacity.accelerators},
+                         {"accelerators_used", row.used.accelerators}});
+    }
+    const auto config = config_->Current();
+    response.body =
+        nlohmann::json{{"id", settings_.id.value},
+                       {"owner", owner_->LastOwner()},
+                       {"is_owner", owner_->IsOwner()},
+                       {"config_version", config ? config->version : 0},
+                       {"config_age_ms", config_->Age().count() / 1000},
+                       {"store_away", store_.IsAway()},
+                       {"minions", std::move(minions)}}
+            .dump();
+  } else {
+    response = ErrorResponse(Fail(error_kind::kNotFound, path));
+  }
+  exchange.reply(std::move(response));
+}
+
+void entry_node::WaitForSignals() {
+  boost::system::error_code ignored;
+  signals_.clear(ignored);
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.add(SIGHUP);
+  signals_.async_wait(
+      [this](const boost::system::error_code& code, int signal) {
+        if (code) {
+          return;
+        }
+        if (signal == SIGHUP) {
+          Reload();
+          WaitForSignals();
+        } else {
+          Stop();
+        }
+      });
+}
+
+// Addresses are fixed for the life of a process; a faulty file changes
+// nothing.
+void entry_node::Reload() {
+  const auto text = ReadFile(settings_path_);
+  const parsed_entry_settings parsed =
+      text ? ParseEntrySettings(settings_path_, *text)
+           : parsed_entry_settings{{},
+                                   {{settings_path_, 0, "",
+                                     "cannot be "
+                                     "read",
+                                     "a file"}}};
+  for (const config_fault& fault : parsed.faults) {
+    LogEvent("settings_fault", {{"fault", ToString(fault)}});
+  }
+  if (parsed.faults.empty()) {
+    settings_.stop_grace = parsed.settings.stop_grace;
+    settings_.revoke_time = parsed.settings.revoke_time;
+  }
+  counters_.Add("settings_reloads");
+  LogEvent("settings_reloaded",
+           {{"outcome", parsed.faults.empty() ? "taken" : "faulty"}});
+}
+
+// First the balancer is told, then callers' connections close after their
+// answers, then the process ends.
+void entry_node::Stop() {
+  is_stopping_ = true;
+  stop_by_ = SuspendAwareNow() + Share(settings_.stop_grace, kEndShareOfGrace);
+  LogEvent("process_stopping",
+           {{"in_progress", std::to_string(callers_->InProgress())}});
+  caller_server_->CloseAfterAnswers();
+  owner_->Stop([] { LogEvent("ownership_given_up", {}); });
+  After(Share(settings_.stop_grace, kServeShareOfGrace), [this] {
+    caller_server_->Drain();
+    FinishStop();
+  });
+}
+
+void entry_node::FinishStop() {
+  const bool is_idle =
+      callers_->InProgress() == 0 && caller_server_->Connections() == 0;
+  if (is_idle || SuspendAwareNow() >= stop_by_) {
+    context_.stop();
+    return;
+  }
+  After(kStopCheckInterval, [this] { FinishStop(); });
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/programs/entry/entry_node.h
@@ -0,0 +1,78 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_ENTRY_NODE_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_ENTRY_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "programs/entry/caller_service.h"
+#include "programs/entry/config_watch.h"
+#include "programs/entry/entry_settings.h"
+#include "programs/entry/job_owner.h"
+#include "programs/entry/outside.h"
+#include "programs/entry/store_watch.h"
+#include "sassafras/core/counter_table.h"
+#include "sassafras/net/http_client.h"
+#include "sassafras/net/http_server.h"
+#include "sassafras/telemetry/metrics.h"
+
+namespace sassafras {
+
+/// One entry process: answers callers, contends for the ownership of the jobs
+/// and serves readiness, metrics and status.
+class entry_node {
+ public:
+  /// Makes the outside from the process's HTTP client and settings.
+  using make_outside =
+      std::function<outside(std::shared_ptr<http_client> client,
+                            const std::string& store,
+                            counter_table& counters)>;
+
+  entry_node(entry_settings settings,
+             std::string settings_path,
+             const make_outside& make);
+  ~entry_node();
+  entry_node(const entry_node&) = delete;
+  entry_node& operator=(const entry_node&) = delete;
+
+  /// Listens and runs until a graceful stop is complete. Returns the exit
+  /// code.
+  int Run();
+
+ private:
+  bool Listen();
+  std::shared_ptr<http_server> Serve(const std::string& address,
+                                     http_server::handler handle);
+  void WaitForSignals();
+  void Reload();
+  void Stop();
+  void FinishStop();
+  void AnswerReadiness(const http_exchange& exchange);
+  void AnswerStatus(const http_exchange& exchange);
+  void After(duration delay, std::function<void()> action);
+
+  entry_settings settings_;
+  const std::string settings_path_;
+  counter_table counters_;
+  metrics metrics_;
+  boost::asio::io_context context_;
+  boost::asio::signal_set signals_;
+  std::shared_ptr<http_client> client_;
+  outside world_;
+  store_watch store_;
+  table_port table_;
+  std::shared_ptr<config_watch> config_;
+  std::shared_ptr<job_owner> owner_;
+  std::shared_ptr<caller_service> callers_;
+  std::shared_ptr<http_server> caller_server_;
+  std::shared_ptr<http_server> ready_server_;
+  std::shared_ptr<http_server> status_server_;
+  bool is_stopping_ = false;
+  instant stop_by_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_ENTRY_NODE_H_
--- /dev/null
+++ b/programs/entry/entry_settings.cc
@@ -0,0 +1,88 @@
+#include "programs/entry/entry_settings.h"
+
+#include <charconv>
+#include <chrono>
+
+#include "sassafras/config/address.h"
+#include "sassafras/config/yaml_reader.h"
+
+namespace sassafras {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::milliseconds;
+
+constexpr duration kShortest = milliseconds(1);
+constexpr duration kLongest = hours(24);
+constexpr int kMaxThreads = 64;
+
+std::string ReadAddress(yaml_reader& reader, const std::string& key) {
+  std::string address = reader.ReadString(key);
+  if (!address.empty() && !ParseAddress(address)) {
+    reader.AddFault(key, "'" + address + "' is no address",
+                    "a numeric IPv4 address with port, as 10.0.0.1:8080");
+  }
+  return address;
+}
+
+// Seconds that may have a fraction, as platforms state them.
+duration ReadSeconds(yaml_reader& reader,
+                     const std::string& key,
+                     duration fallback) {
+  const std::string text = reader.ReadString(key, "");
+  if (text.empty()) {
+    return fallback;
+  }
+  double seconds = 0;
+  const auto [end, code] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  const bool is_number =
+      code == std::errc() && end == text.data() + text.size();
+  const auto value = std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(is_number ? seconds : 0));
+  if (value < kShortest || value > kLongest) {
+    reader.AddFault(key, "'" + text + "' is out of range",
+                    "seconds, such as 6 or 4.5, up to a day");
+    return fallback;
+  }
+  return value;
+}
+
+void ReadBounds(yaml_reader& reader, entry_settings& settings) {
+  const auto read = [&](const char* key, duration& value) {
+    value = reader.ReadDuration(key, kShortest, kLongest, value);
+  };
+  read("greatest_lease", settings.greatest_lease);
+  read("stop_time", settings.stop_time);
+  read("gang_timeout", settings.gang_timeout);
+  read("revoke_time", settings.revoke_time);
+  settings.stop_grace =
+      ReadSeconds(reader, "stop_grace_seconds", settings.stop_grace);
+  settings.state_time =
+      ReadSeconds(reader, "state_seconds", settings.state_time);
+}
+
+}  // namespace
+
+parsed_entry_settings ParseEntrySettings(const std::string& file,
+                                         const std::string& text) {
+  parsed_entry_settings parsed;
+  entry_settings& settings = parsed.settings;
+  ReadYaml(file, text, unknown_keys::kRefuse, parsed.faults,
+           [&](yaml_reader& reader) {
+             settings.id.value = reader.ReadName("id");
+             settings.place.value = reader.ReadName("place");
+             settings.callers = ReadAddress(reader, "callers");
+             settings.readiness = ReadAddress(reader, "readiness");
+             settings.status = ReadAddress(reader, "status");
+             settings.store = ReadAddress(reader, "store");
+             settings.threads = static_cast<int>(
+                 reader.ReadInteger("threads", 1, kMaxThreads, 1));
+             reader.ReadMap("bounds", [&](yaml_reader& bounds) {
+               ReadBounds(bounds, settings);
+             });
+           });
+  return parsed;
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/programs/entry/entry_settings.h
@@ -0,0 +1,42 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
+
+#include <string>
+#include <vector>
+
+#include "sassafras/config/config_fault.h"
+#include "sassafras/core/id.h"
+#include "sassafras/core/time.h"
+
+namespace sassafras {
+
+/// Settings of one entry process.
+struct entry_settings {
+  process_id id;
+  place_id place;
+  std::string callers;    ///< "IP:port" where callers connect.
+  std::string readiness;  ///< "IP:port" where the balancer asks.
+  std::string status;     ///< "IP:port" of metrics and status pages.
+  std::string store;      ///< "IP:port" of the platform's store.
+  int threads = 1;
+  duration greatest_lease{6'000'000};  ///< Of what runs on a minion.
+  duration stop_time{400'000};         ///< Longest time a stop takes.
+  duration gang_timeout{3'000'000};    ///< A gang must be whole within it.
+  duration revoke_time{5'000'000};     ///< A taken key is refused after it.
+  duration stop_grace{6'000'000};      ///< From a stop signal to the kill.
+  duration state_time{120'000'000};    ///< Ended jobs can be asked for.
+};
+
+/// Settings that were read and every fault found.
+struct parsed_entry_settings {
+  entry_settings settings;
+  std::vector<config_fault> faults;
+};
+
+/// Reads a settings file. Never throws.
+parsed_entry_settings ParseEntrySettings(const std::string& file,
+                                         const std::string& text);
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_ENTRY_SETTINGS_H_
--- /dev/null
+++ b/programs/entry/job_owner.h
@@ -0,0 +1,123 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_JOB_OWNER_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_JOB_OWNER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "programs/entry/entry_settings.h"
+#include "programs/entry/outside.h"
+#include "programs/shell/lease_keeper.h"
+#include "sassafras/core/counter_table.h"
+#include "sassafras/sched/work_core.h"
+#include "sassafras/telemetry/metrics.h"
+
+namespace sassafras {
+
+/// Contends for the ownership of the jobs and, while it holds it, carries out
+/// what work_core decides. Safe to use from several threads; its lock comes
+/// before those of the lease and of counters, and no port is called with it
+/// held.
+class job_owner : public std::enable_shared_from_this<job_owner> {
+ public:
+  struct hooks {
+    std::function<instant()> now;
+    std::function<std::int64_t()> wall_unix_ms;
+    /// Calls `action` once after `delay`.
+    std::function<void(duration delay, std::function<void()> action)> after;
+  };
+
+  static std::shared_ptr<job_owner> Make(const outside& world,
+                                         const table_port& table,
+                                         const entry_settings& settings,
+                                         counter_table& counters,
+                                         metrics& measured,
+                                         hooks program);
+
+  /// Begins to contend. Call once.
+  void Start();
+
+  void OnConfig(sched::service_config_ptr config);
+
+  /// Gives the ownership up and takes it no more.
+  void Stop(std::function<void()> done);
+
+  /// Whether this process owns the jobs now.
+  bool IsOwner() const;
+
+  /// Process that owned the jobs when that was last read.
+  std::string LastOwner() const;
+
+  /// One sentence about a job; empty if this process does not own it.
+  std::string Explain(const std::string& job) const;
+
+  std::vector<sched::minion_status> Minions() const;
+
+ private:
+  // What was read of the store at the beginning of a tenure.
+  struct loaded_rows {
+    std::uint64_t from_version = 0;  ///< Changes are followed from here.
+    std::vector<table_row> records;
+    std::vector<table_row> jobs;
+  };
+
+  job_owner(const outside& world,
+            const table_port& table,
+            const entry_settings& settings,
+            counter_table& counters,
+            metrics& measured,
+            hooks program);
+
+  void Tick();
+  void OnGained(std::uint64_t epoch);
+  void OnLost();
+  void Load(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows);
+  void LoadPage(std::uint64_t tenure,
+                std::shared_ptr<loaded_rows> rows,
+                std::string prefix,
+                std::vector<table_row> loaded_rows::*into);
+  void BeginWork(std::uint64_t tenure, const loaded_rows& rows);
+  void TakeRow(const table_row& row,
+               const std::map<std::string, const table_row*>& records);
+  void FollowJobs(std::uint64_t tenure, std::uint64_t after);
+  void ReadJobsAnew(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows);
+  void ListMinions(std::uint64_t tenure);
+  void TakeMinionRows(std::uint64_t tenure, const read_answer& answer);
+  void PublishWaiting(std::uint64_t tenure);
+  void DropExpired(std::uint64_t tenure);
+  void RepeatDecision();
+
+  // Runs `change` on the core if `tenure` lasts, and decides soon after.
+  void Change(std::uint64_t tenure,
+              const std::function<void(sched::work_core&, instant)>& change);
+  void ScheduleDecision(duration delay);
+  void DecideNow();
+  void CarryOut(std::uint64_t tenure, sched::work_actions actions);
+  void SendStart(std::uint64_t tenure, sched::start_order order);
+  void SendStop(std::uint64_t tenure, sched::stop_order order);
+  void SendLook(std::uint64_t tenure, sched::look_order order);
+
+  const outside& world_;
+  const table_port& table_;
+  const entry_settings& settings_;
+  counter_table& counters_;
+  metrics& measured_;
+  const hooks program_;
+  std::shared_ptr<lease_keeper> lease_;
+
+  mutable std::mutex mutex_;
+  std::unique_ptr<sched::work_core> core_;
+  sched::service_config_ptr config_;
+  std::uint64_t tenure_ = 0;  // Counts gains; 0: never held.
+  bool holds_ = false;
+  bool is_decision_due_ = false;
+  std::uint64_t waiting_version_ = 0;
+  std::string waiting_written_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_JOB_OWNER_H_
--- /dev/null
+++ b/programs/entry/outside.h
@@ -0,0 +1,40 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_OUTSIDE_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_OUTSIDE_H_
+
+#include <functional>
+#include <string>
+
+#include "sassafras/core/result.h"
+#include "sassafras/net/http_types.h"
+#include "sassafras/net/table_port.h"
+#include "sassafras/sched/caller.h"
+#include "sassafras/sched/minion_orders.h"
+#include "sassafras/sched/service_config.h"
+
+namespace sassafras {
+
+/// Everything that an entry process has outside itself: ports to the store
+/// and the minions, where in the store others write, and how their formats
+/// are decoded. Filled by the adapter of a platform.
+struct outside {
+  table_port table;
+  sched::order_port orders;
+
+  std::string config_table;  ///< Prefix of the operator's table.
+  std::string config_key;    ///< Row of the configuration.
+  std::function<result<sched::service_config>(const std::string& text)>
+      decode_config;
+
+  std::string minion_table;  ///< Prefix of the list of minions.
+  std::function<result<sched::minion_report>(const table_row& row)>
+      decode_minion;
+
+  std::function<sched::caller_call(const http_request& request)> decode_call;
+  std::function<result<sched::job_spec>(const std::string& body)> decode_job;
+  std::function<http_response(const sched::caller_answer& answer)>
+      encode_answer;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_OUTSIDE_H_
--- a/programs/shell/command_line.cc
+++ b/programs/shell/command_line.cc
@@ -13,26 +13,6 @@
 constexpr int kUsageError = 2;
 constexpr int kFaultySettings = 1;
 
-start_decision CheckSettings(const std::string& path, bool check_only) {
-  const auto text = ReadFile(path);
-  if (!text) {
-    std::cerr << path << ": cannot be read\n";
-    return {std::nullopt, kFaultySettings};
-  }
-  parsed_settings parsed = ParseSettings(path, *text);
-  for (const config_fault& fault : parsed.faults) {
-    std::cerr << ToString(fault) << '\n';
-  }
-  if (!parsed.faults.empty()) {
-    return {std::nullopt, kFaultySettings};
-  }
-  if (check_only) {
-    std::cout << path << ": valid\n";
-    return {std::nullopt, 0};
-  }
-  return {std::move(parsed.settings), 0};
-}
-
 }  // namespace
 
 std::optional<std::string> ReadFile(const std::string& path) {
@@ -45,10 +25,25 @@
   return text.str();
 }
 
-start_decision ReadCommandLine(int argc,
-                               const char* const* argv,
-                               const std::string& program,
-                               const std::string& purpose) {
+int ReportFaults(const std::string& path,
+                 const std::vector<config_fault>& faults,
+                 bool is_check) {
+  for (const config_fault& fault : faults) {
+    std::cerr << ToString(fault) << '\n';
+  }
+  if (!faults.empty()) {
+    return kFaultySettings;
+  }
+  if (is_check) {
+    std::cout << path << ": valid\n";
+  }
+  return 0;
+}
+
+settings_choice ReadSettingsChoice(int argc,
+                                   const char* const* argv,
+                                   const std::string& program,
+                                   const std::string& purpose) {
   po::options_description options(program + ": " + purpose + "\nOptions");
   options.add_options()("help", "print this text")(
       "version", "print the version")("config", po::value<std::string>(),
@@ -60,7 +55,7 @@
     po::notify(values);
   } catch (const po::error& failure) {
     std::cerr << program << ": " << failure.what() << "\n" << options;
-    return {std::nullopt, kUsageError};
+    return {"", false, kUsageError};
   }
   if (values.count("help") > 0) {
     std::cout << options;
@@ -72,10 +67,18 @@
   }
   if (values.count("config") == 0) {
     std::cerr << program << ": --config FILE is needed\n" << options;
-    return {std::nullopt, kUsageError};
+    return {"", false, kUsageError};
   }
-  return CheckSettings(values["config"].as<std::string>(),
-                       values.count("check-config") > 0);
+  return {values["config"].as<std::string>(), values.count("check-config") > 0,
+          0};
+}
+
+start_decision ReadCommandLine(int argc,
+                               const char* const* argv,
+                               const std::string& program,
+                               const std::string& purpose) {
+  return ReadStart<process_settings>(
+      ReadSettingsChoice(argc, argv, program, purpose), ParseSettings);
 }
 
 }  // namespace sassafras
--- a/programs/shell/lease_keeper.h
+++ b/programs/shell/lease_keeper.h
@@ -9,7 +9,7 @@
 #include <string>
 
 #include "sassafras/cluster/lease.h"
-#include "sassafras/platform/table_port.h"
+#include "sassafras/net/table_port.h"
 
 namespace sassafras {
 
--- a/programs/shell/node.h
+++ b/programs/shell/node.h
@@ -16,10 +16,10 @@
 #include "sassafras/cluster/membership.h"
 #include "sassafras/config/settings.h"
 #include "sassafras/core/counter_table.h"
-#include "sassafras/platform/http_adapters.h"
-#include "sassafras/platform/http_server.h"
-#include "sassafras/platform/nng_peers.h"
-#include "sassafras/platform/peer_codec.h"
+#include "sassafras/net/http_adapters.h"
+#include "sassafras/net/http_server.h"
+#include "sassafras/net/nng_peers.h"
+#include "sassafras/net/peer_codec.h"
 #include "sassafras/telemetry/metrics.h"
 
 namespace sassafras {
--- /dev/null
+++ b/src/sched/acceptance.cc
@@ -0,0 +1,95 @@
+#include "sassafras/sched/acceptance.h"
+
+#include <algorithm>
+
+#include "sassafras/core/invariant.h"
+#include "sassafras/sched/caller.h"
+
+namespace sassafras::sched {
+namespace {
+
+// Writes of one submission: the job, the mark, and one repetition each.
+constexpr int kMaxWrites = 4;
+constexpr std::size_t kJobIdDigits = 16;
+
+}  // namespace
+
+bool IsJobId(std::string_view text) {
+  const auto is_digit = [](char c) {
+    return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f') ||
+           (c >= 'A' && c <= 'F');
+  };
+  return text.size() == kJobIdDigits &&
+         std::all_of(text.begin(), text.end(), is_digit);
+}
+
+acceptance::acceptance(accepted_job job)
+    : job_(std::move(job)), key_(kJobTable + job_.id) {}
+
+table_transaction acceptance::Begin() {
+  return Submit(0);
+}
+
+std::optional<table_transaction> acceptance::OnAnswer(
+    const commit_answer& answer) {
+  CheckInvariant(!result_.has_value(), "acceptance_is_decided_once");
+  if (answer.state == answer_state::kDone) {
+    return Finish(is_refusing_ ? acceptance_result::kRefused
+                               : acceptance_result::kAccepted);
+  }
+  if (answer.state == answer_state::kNotDone &&
+      answer.reason == error_kind::kConflict) {
+    return OnConflict(answer);
+  }
+  if (answer.state == answer_state::kUnknown) {
+    had_unknown_ = true;
+  }
+  if (!had_unknown_) {
+    return Finish(acceptance_result::kRefused);
+  }
+  if (writes_ >= kMaxWrites || is_refusing_) {
+    return Finish(acceptance_result::kUnknown);
+  }
+  return Refuse();
+}
+
+// The row is there: the job, from this or an earlier call, or the mark of an
+// earlier refusal, which a new call may replace.
+std::optional<table_transaction> acceptance::OnConflict(
+    const commit_answer& answer) {
+  const table_row* row = FindRow(answer.rows, key_);
+  const auto current = row == nullptr || row->version == 0
+                           ? result<job_row>(Fail(error_kind::kNotFound))
+                           : DecodeJobRow(row->value);
+  if (!current) {
+    return Finish(had_unknown_ ? acceptance_result::kUnknown
+                               : acceptance_result::kRefused);
+  }
+  if (!current.value().is_refusal) {
+    return Finish(acceptance_result::kAccepted);
+  }
+  // Once the mark stands, a lost write that expected another version fails.
+  if (is_refusing_ || writes_ >= kMaxWrites) {
+    return Finish(acceptance_result::kRefused);
+  }
+  return Submit(row->version);
+}
+
+table_transaction acceptance::Submit(std::uint64_t expected_version) {
+  ++writes_;
+  expected_version_ = expected_version;
+  return {{key_, expected_version, EncodeJobRow({false, job_})}};
+}
+
+table_transaction acceptance::Refuse() {
+  ++writes_;
+  is_refusing_ = true;
+  return {{key_, expected_version_, EncodeJobRow({true, {}})}};
+}
+
+std::optional<table_transaction> acceptance::Finish(acceptance_result how) {
+  result_ = how;
+  return std::nullopt;
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/job_codec.cc
@@ -0,0 +1,204 @@
+#include "sassafras/sched/job_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sassafras::sched {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kRowFormat = 1;
+constexpr std::string_view kCancelSuffix = ".cancel";
+
+json ToJson(const step_spec& step) {
+  json document = {{"count", step.count},
+                   {"millicores", step.needs.millicores},
+                   {"memory_mb", step.needs.memory_mb},
+                   {"accelerators", step.needs.accelerators},
+                   {"estimate_us", step.estimate.count()}};
+  if (!step.after.empty()) {
+    document["after"] = step.after;
+  }
+  const auto flag = [&](const char* name, bool value) {
+    if (value) {
+      document[name] = true;
+    }
+  };
+  flag("saves", step.saves_progress);
+  flag("gang", step.is_gang);
+  flag("one_rack", step.wants_one_rack);
+  flag("persistent", step.is_persistent);
+  flag("copies", step.may_run_copies);
+  if (step.max_per_minion > 0) {
+    document["max_per_minion"] = step.max_per_minion;
+  }
+  if (!step.required_label.empty()) {
+    document["label"] = step.required_label;
+  }
+  if (!step.data_rack.empty()) {
+    document["data_rack"] = step.data_rack;
+  }
+  return document;
+}
+
+step_spec ToStep(const json& document) {
+  step_spec step;
+  step.count = document.at("count");
+  step.needs.millicores = document.at("millicores");
+  step.needs.memory_mb = document.at("memory_mb");
+  step.needs.accelerators = document.at("accelerators");
+  step.estimate = duration(document.at("estimate_us").get<std::int64_t>());
+  step.after = document.value("after", std::vector<int>());
+  step.saves_progress = document.value("saves", false);
+  step.is_gang = document.value("gang", false);
+  step.wants_one_rack = document.value("one_rack", false);
+  step.is_persistent = document.value("persistent", false);
+  step.may_run_copies = document.value("copies", false);
+  step.max_per_minion = document.value("max_per_minion", 0);
+  step.required_label = document.value("label", std::string());
+  step.data_rack = document.value("data_rack", std::string());
+  return step;
+}
+
+json ToJson(const recorded_unit& unit) {
+  json members = json::array();
+  for (const recorded_member& member : unit.members) {
+    members.push_back(
+        json::array({member.index, member.minion, member.born_unix_ms}));
+  }
+  return json::array({unit.occurrence, unit.step, unit.index, unit.run,
+                      unit.failed, unit.is_done, unit.checkpoint,
+                      std::move(members)});
+}
+
+recorded_unit ToUnit(const json& document) {
+  recorded_unit unit;
+  unit.occurrence = document.at(0);
+  unit.step = document.at(1);
+  unit.index = document.at(2);
+  unit.run = document.at(3);
+  unit.failed = document.at(4);
+  unit.is_done = document.at(5);
+  unit.checkpoint = document.at(6);
+  for (const json& member : document.at(7)) {
+    unit.members.push_back({member.at(0), member.at(1), member.at(2)});
+  }
+  return unit;
+}
+
+}  // namespace
+
+std::string EncodeJobRow(const job_row& row) {
+  if (row.is_refusal) {
+    return json{{"format", kRowFormat}, {"refused", true}}.dump();
+  }
+  const accepted_job& job = row.job;
+  json steps = json::array();
+  for (const step_spec& step : job.spec.steps) {
+    steps.push_back(ToJson(step));
+  }
+  json document = {{"format", kRowFormat},
+                   {"id", job.id},
+                   {"queue", job.queue},
+                   {"service", job.service},
+                   {"team", job.team},
+                   {"priority", job.priority},
+                   {"attempts", job.attempts},
+                   {"stretch", job.stretch},
+                   {"target_us", job.target.count()},
+                   {"payload", job.spec.payload},
+                   {"steps", std::move(steps)}};
+  if (job.spec.occurrences > 0) {
+    document["occurrences"] = job.spec.occurrences;
+    document["first_due_unix_ms"] = job.spec.first_due_unix_ms;
+    document["interval_ms"] = job.spec.interval_ms;
+  }
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+result<job_row> DecodeJobRow(const std::string& text) {
+  try {
+    const json document = json::parse(text);
+    job_row row;
+    if (document.value("refused", false)) {
+      row.is_refusal = true;
+      return row;
+    }
+    accepted_job& job = row.job;
+    job.id = document.at("id");
+    job.queue = document.at("queue");
+    job.service = document.at("service");
+    job.team = document.at("team");
+    job.priority = document.at("priority");
+    job.attempts = document.at("attempts");
+    job.stretch = document.at("stretch");
+    job.target = duration(document.at("target_us").get<std::int64_t>());
+    job.spec.payload = document.at("payload");
+    for (const json& step : document.at("steps")) {
+      job.spec.steps.push_back(ToStep(step));
+    }
+    job.spec.occurrences = document.value("occurrences", 0);
+    job.spec.first_due_unix_ms =
+        document.value("first_due_unix_ms", std::int64_t{0});
+    job.spec.interval_ms = document.value("interval_ms", std::int64_t{0});
+    return row;
+  } catch (const json::exception& failure) {
+    return Fail(error_kind::kMalformed, failure.what());
+  }
+}
+
+std::string CancelKey(const std::string& id) {
+  return kJobTable + id + std::string(kCancelSuffix);
+}
+
+std::string CancelledId(const std::string& key) {
+  const std::string_view prefix = kJobTable;
+  if (!key.starts_with(prefix) || !key.ends_with(kCancelSuffix)) {
+    return {};
+  }
+  return key.substr(prefix.size(),
+                    key.size() - prefix.size() - kCancelSuffix.size());
+}
+
+std::string EncodeWaiting(const std::map<std::string, int>& waiting) {
+  return json(waiting).dump();
+}
+
+result<std::map<std::string, int>> DecodeWaiting(const std::string& text) {
+  try {
+    return json::parse(text).get<std::map<std::string, int>>();
+  } catch (const json::exception& failure) {
+    return Fail(error_kind::kMalformed, failure.what());
+  }
+}
+
+std::string EncodeRecord(const job_record& record) {
+  json units = json::array();
+  for (const recorded_unit& unit : record.units) {
+    units.push_back(ToJson(unit));
+  }
+  return json{{"format", kRowFormat},
+              {"state", static_cast<int>(record.state)},
+              {"units", std::move(units)}}
+      .dump();
+}
+
+result<job_record> DecodeRecord(const std::string& text) {
+  try {
+    const json document = json::parse(text);
+    job_record record;
+    const int state = document.at("state");
+    if (state < 0 || state > static_cast<int>(job_state::kCancelled)) {
+      return Fail(error_kind::kMalformed, "state of a record");
+    }
+    record.state = static_cast<job_state>(state);
+    for (const json& unit : document.at("units")) {
+      record.units.push_back(ToUnit(unit));
+    }
+    return record;
+  } catch (const json::exception& failure) {
+    return Fail(error_kind::kMalformed, failure.what());
+  }
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/work_core.cc
@@ -0,0 +1,296 @@
+#include "sassafras/sched/work_core.h"
+
+#include <algorithm>
+#include <string>
+
+#include "sassafras/core/invariant.h"
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+
+work_core::impl::impl(work_options options,
+                      std::uint64_t fence,
+                      instant now,
+                      counter_table& counters)
+    : options_(options), fence_(fence), began_(now), counters_(counters) {}
+
+void work_core::impl::SetConfig(service_config_ptr config) {
+  config_ = std::move(config);
+  should_place_ = true;
+}
+
+// Restored units that were recorded in a run keep it until it is settled.
+void work_core::impl::TakeJob(instant now,
+                              const accepted_job& job,
+                              std::uint64_t accepted_version,
+                              const std::optional<job_record>& record,
+                              std::uint64_t record_version) {
+  if (jobs_.contains(job.id)) {
+    return;
+  }
+  job_entry& entry = jobs_[job.id];
+  entry.job = job;
+  entry.accepted_version = accepted_version;
+  entry.seen_at = now;
+  entry.record_version = record_version;
+  AddUnits(entry, now);
+  if (record) {
+    Restore(entry, *record);
+    if (entry.IsEnded()) {
+      entry.ended_at = now;
+    }
+  } else {
+    Note("job_taken", job.id, "", "", "queue " + job.queue);
+  }
+  should_place_ = true;
+}
+
+void work_core::impl::AddUnits(job_entry& entry, instant now) {
+  const job_spec& spec = entry.job.spec;
+  for (int k = 0; k < std::max(1, spec.occurrences); ++k) {
+    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+      const step_spec& step = spec.steps[s];
+      const int units = step.is_gang ? std::min(1, step.count) : step.count;
+      for (int index = 0; index < units; ++index) {
+        work_unit unit;
+        unit.occurrence = k;
+        unit.step = static_cast<int>(s);
+        unit.index = index;
+        unit.width = step.is_gang ? step.count : 1;
+        unit.waiting_since = now;
+        entry.units.push_back(unit);
+      }
+    }
+  }
+}
+
+void work_core::impl::Restore(job_entry& entry, const job_record& record) {
+  entry.state = record.state;
+  entry.is_cancelled = record.state == job_state::kCancelled;
+  for (const recorded_unit& recorded : record.units) {
+    const auto it = std::find_if(
+        entry.units.begin(), entry.units.end(), [&](const work_unit& unit) {
+          return unit.occurrence == recorded.occurrence &&
+                 unit.step == recorded.step && unit.index == recorded.index;
+        });
+    if (it == entry.units.end()) {
+      counters_.Add("sched_record_unit_unknown");
+      continue;
+    }
+    it->run = recorded.run;
+    it->failed = recorded.failed;
+    it->is_done = recorded.is_done;
+    it->has_started = recorded.run > 0;
+    it->checkpoint = recorded.checkpoint;
+    if (it->is_done) {
+      it->phase = unit_phase::kDone;
+    }
+    RestoreMembers(entry, *it, recorded);
+  }
+}
+
+void work_core::impl::RestoreMembers(job_entry& entry,
+                                     work_unit& unit,
+                                     const recorded_unit& recorded) {
+  for (const recorded_member& at : recorded.members) {
+    unit_member member;
+    member.index = at.index;
+    member.life = {at.minion, at.born_unix_ms, ""};
+    member.phase = member_phase::kInherited;
+    unit.members.push_back(member);
+    minion_entry& minion = MinionOf(at.minion);
+    if (minion.report.born_unix_ms == 0) {
+      minion.report.born_unix_ms = at.born_unix_ms;
+    }
+    minion.last_grant = std::max(minion.last_grant, began_);
+    minion.used += entry.job.spec.steps.at(unit.step).needs;
+    const run_key key = KeyOf(entry, unit, member);
+    minion.members.insert(key);
+    places_[key] = at.minion;
+  }
+  if (!unit.members.empty()) {
+    unit.phase = unit_phase::kActive;
+  }
+}
+
+void work_core::impl::CancelJob(instant now, const std::string& id) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end() || it->second.IsEnded()) {
+    return;
+  }
+  job_entry& job = it->second;
+  job.is_cancelled = true;
+  Note("job_cancelled", id, "", "", "by its caller");
+  for (work_unit& unit : job.units) {
+    CloseUnit(now, job, unit, "cancelled");
+  }
+  UpdateState(now, job);
+}
+
+std::map<std::string, int> work_core::impl::WaitingByQueue() const {
+  std::map<std::string, int> waiting;
+  for (const auto& [id, job] : jobs_) {
+    if (job.state == job_state::kQueued) {
+      ++waiting[job.job.queue];
+    }
+  }
+  return waiting;
+}
+
+std::string work_core::impl::Explain(const std::string& id) const {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return {};
+  }
+  const job_entry& job = it->second;
+  int waiting = 0;
+  int running = 0;
+  int done = 0;
+  std::string where;
+  for (const work_unit& unit : job.units) {
+    waiting += unit.phase == unit_phase::kWaiting ? 1 : 0;
+    done += unit.is_done ? 1 : 0;
+    running += unit.phase == unit_phase::kActive ? 1 : 0;
+    for (const unit_member& member : unit.members) {
+      if (member.phase != member_phase::kOver && where.size() < 200) {
+        where += " " + member.life.id;
+      }
+    }
+  }
+  return "The job is " + std::string(GetName(job.state)) + ": " +
+         std::to_string(done) + " of " + std::to_string(job.units.size()) +
+         " units are done, " + std::to_string(running) + " run, " +
+         std::to_string(waiting) + " wait for room" +
+         (where.empty() ? std::string() : "; it holds room on" + where) + ".";
+}
+
+std::vector<expired_job> work_core::impl::TakeExpired(instant now,
+                                                      std::size_t most) {
+  std::vector<expired_job> expired;
+  for (auto it = jobs_.begin(); it != jobs_.end() && expired.size() < most;) {
+    const job_entry& job = it->second;
+    const bool is_settled =
+        job.IsEnded() && job.change == job.written &&
+        std::all_of(job.units.begin(), job.units.end(),
+                    [](const work_unit& unit) { return unit.members.empty(); });
+    if (is_settled && now - job.ended_at > options_.state_retention) {
+      expired.push_back({it->first, job.accepted_version, job.record_version});
+      it = jobs_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  return expired;
+}
+
+void work_core::impl::Note(std::string_view event,
+                           const std::string& job,
+                           const std::string& task,
+                           const std::string& minion,
+                           std::string detail) {
+  actions_.notes.push_back({event, job, task, minion, std::move(detail)});
+}
+
+const std::string& work_core::impl::ServiceOf(const job_entry& entry) const {
+  if (config_) {
+    const job_queue* queue = config_->FindQueueByName(entry.job.queue);
+    if (queue != nullptr) {
+      return queue->service;
+    }
+  }
+  return entry.job.service;
+}
+
+std::string FormatRun(const run_key& run) {
+  return std::to_string(run.task.occurrence) + "." +
+         std::to_string(run.task.step) + "." + std::to_string(run.task.index) +
+         "#" + std::to_string(run.run);
+}
+
+work_core::work_core(work_options options,
+                     std::uint64_t fence,
+                     instant now,
+                     counter_table& counters)
+    : impl_(std::make_unique<impl>(options, fence, now, counters)) {}
+
+work_core::~work_core() = default;
+
+void work_core::OnConfig(service_config_ptr config) {
+  impl_->SetConfig(std::move(config));
+}
+
+void work_core::OnJob(instant now,
+                      const accepted_job& job,
+                      std::uint64_t accepted_version,
+                      const std::optional<job_record>& record,
+                      std::uint64_t record_version) {
+  impl_->TakeJob(now, job, accepted_version, record, record_version);
+}
+
+void work_core::OnCancel(instant now, const std::string& id) {
+  impl_->CancelJob(now, id);
+}
+
+void work_core::OnMinions(instant now,
+                          const std::vector<minion_report>& minions) {
+  impl_->TakeMinions(now, minions);
+}
+
+void work_core::OnStarted(instant now,
+                          const start_order& order,
+                          order_answer answer) {
+  impl_->TakeStartAnswer(now, order, answer.outcome);
+}
+
+void work_core::OnStopped(instant now,
+                          const stop_order& order,
+                          order_answer answer) {
+  impl_->TakeStopAnswer(now, order, answer.outcome);
+}
+
+void work_core::OnLooked(instant now,
+                         instant sent,
+                         const look_order& order,
+                         const look_answer& answer) {
+  impl_->TakeLook(now, sent, order, answer);
+}
+
+void work_core::OnCommit(instant now, const commit_answer& answer) {
+  impl_->TakeCommit(now, answer);
+}
+
+work_actions work_core::Decide(instant now, std::int64_t wall_unix_ms) {
+  impl_->CheckMinions(now);
+  impl_->PlaceAll(now, wall_unix_ms);
+  impl_->EmitStarts(now);
+  impl_->EmitStops(now);
+  impl_->EmitLooks(now);
+  impl_->EmitCommit(now);
+  return impl_->TakeActions();
+}
+
+std::map<std::string, int> work_core::WaitingByQueue() const {
+  return impl_->WaitingByQueue();
+}
+
+std::optional<job_state> work_core::StateOf(const std::string& id) const {
+  const auto it = impl_->Jobs().find(id);
+  if (it == impl_->Jobs().end()) {
+    return std::nullopt;
+  }
+  return it->second.state;
+}
+
+std::string work_core::Explain(const std::string& id) const {
+  return impl_->Explain(id);
+}
+
+std::vector<minion_status> work_core::Minions() const {
+  return impl_->Minions();
+}
+
+std::vector<expired_job> work_core::TakeExpired(instant now, std::size_t most) {
+  return impl_->TakeExpired(now, most);
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/work_minions.cc
@@ -0,0 +1,419 @@
+#include <algorithm>
+#include <chrono>
+
+#include "sassafras/core/invariant.h"
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// An answer waits so long for an end; a third of the shortest lease in use.
+constexpr duration kLookWait = std::chrono::milliseconds(1500);
+// A minion that did not answer is asked again after it.
+constexpr duration kSilentInterval = std::chrono::milliseconds(300);
+// Ends that are not durable yet hold the next look back for so long.
+constexpr duration kPendingInterval = std::chrono::milliseconds(500);
+// Between extra looks for a run whose stop was answered.
+constexpr duration kExtraInterval = std::chrono::milliseconds(100);
+// Minions' clocks may be 2% slow; one more for our own clock and rounding.
+constexpr double kClockSlack = 1.03;
+// Time on the way and in queues, added to the longest lease.
+constexpr duration kLapseSlack = std::chrono::milliseconds(500);
+// Failures of so many different jobs, without a success, speak against a
+// minion: a job of its own that fails is of one id.
+constexpr std::size_t kSuspiciousFailures = 2;
+// First pause of a minion that failed; doubles up to the limit.
+constexpr duration kFirstAvoidance = std::chrono::seconds(2);
+constexpr int kMaxPenalties = 3;
+// A listing of so many ends may not be whole.
+constexpr std::size_t kFullListing = 500;
+
+}  // namespace
+
+minion_entry& work_core::impl::MinionOf(const std::string& id) {
+  minion_entry& minion = minions_[id];
+  if (minion.report.id.empty()) {
+    minion.report.id = id;
+  }
+  return minion;
+}
+
+minion_entry* work_core::impl::FindMinion(const std::string& id) {
+  const auto it = minions_.find(id);
+  return it == minions_.end() ? nullptr : &it->second;
+}
+
+void work_core::impl::TakeMinions(instant now,
+                                  const std::vector<minion_report>& minions) {
+  for (auto& [id, minion] : minions_) {
+    minion.is_listed = false;
+  }
+  for (const minion_report& report : minions) {
+    minion_entry& minion = MinionOf(report.id);
+    const std::int64_t known_born = minion.report.born_unix_ms;
+    if (report.born_unix_ms < known_born) {
+      counters_.Add("sched_report_of_earlier_life");
+      continue;  // The list lags behind what the minion itself has said.
+    }
+    const bool was_draining = minion.report.is_draining;
+    minion.report = report;
+    minion.is_listed = true;
+    if (report.born_unix_ms != known_born) {
+      minion.report.born_unix_ms = known_born;
+      BeginLife(now, minion, report.born_unix_ms);
+    }
+    if (report.is_draining && !was_draining) {
+      Note("minion_draining", "", "", report.id, "");
+    }
+    for (const run_key& run : minion.members) {
+      const member_ref ref = FindMember(run, report.id);
+      if (ref.member != nullptr) {
+        ref.member->life.address = report.address;
+      }
+    }
+  }
+  DropGone();
+  should_place_ = true;
+}
+
+void work_core::impl::DropGone() {
+  std::erase_if(minions_, [&](const auto& item) {
+    const minion_entry& minion = item.second;
+    const bool is_gone = !minion.is_listed && !minion.is_answering &&
+                         minion.members.empty() && !minion.is_look_out &&
+                         !minion.is_extra_look_out;
+    if (is_gone) {
+      Note("minion_gone", "", "", item.first, "");
+    }
+    return is_gone;
+  });
+}
+
+// What ran in the earlier life is over, but a start without an answer may
+// still arrive at the new one: it is stopped there first.
+void work_core::impl::BeginLife(instant now,
+                                minion_entry& minion,
+                                std::int64_t born) {
+  Note("minion_life", "", "", minion.report.id, "born " + std::to_string(born));
+  minion.report.born_unix_ms = born;
+  minion.is_known = false;
+  minion.is_answering = false;
+  minion.acknowledged = 0;
+  minion.processed = 0;
+  minion.told = 0;
+  minion.pending.clear();
+  minion.next_look = now;
+  minion.failed_jobs.clear();
+  minion.penalties = 0;
+  minion.avoid_until = now;
+  const std::set<run_key> members = minion.members;
+  for (const run_key& run : members) {
+    const member_ref ref = FindMember(run, minion.report.id);
+    if (ref.member == nullptr || ref.member->life.born_unix_ms == born) {
+      continue;
+    }
+    const bool may_arrive = ref.member->phase == member_phase::kStarting ||
+                            ref.member->phase == member_phase::kUnsure;
+    if (may_arrive) {
+      ref.member->life.born_unix_ms = born;
+      ref.member->life.address = minion.report.address;
+      CloseUnit(now, *ref.job, *ref.unit, "its minion was reborn");
+    } else {
+      LoseMember(now, ref, "its minion was reborn");
+    }
+  }
+}
+
+void work_core::impl::TakeLook(instant now,
+                               instant sent,
+                               const look_order& order,
+                               const look_answer& answer) {
+  counters_.Add("sched_look_" + std::string(GetName(answer.outcome)));
+  minion_entry* minion = FindMinion(order.minion.id);
+  if (minion == nullptr) {
+    return;
+  }
+  (order.is_extra ? minion->is_extra_look_out : minion->is_look_out) = false;
+  if (answer.outcome != order_outcome::kDone) {
+    if (sent >= minion->last_answer_sent && minion->is_answering) {
+      minion->is_answering = false;
+      Note("minion_silent", "", "", order.minion.id,
+           std::string(GetName(answer.outcome)));
+    }
+    minion->next_look = now + kSilentInterval;
+    return;
+  }
+  if (answer.born_unix_ms != 0 &&
+      answer.born_unix_ms < minion->report.born_unix_ms) {
+    counters_.Add("sched_look_of_earlier_life");
+    return;
+  }
+  if (answer.born_unix_ms > minion->report.born_unix_ms) {
+    BeginLife(now, *minion, answer.born_unix_ms);
+  }
+  if (!minion->is_answering || !minion->is_known) {
+    should_place_ = true;
+    Note("minion_answers", "", "", order.minion.id, "");
+  }
+  minion->is_known = true;
+  minion->is_answering = true;
+  minion->last_answer_sent = std::max(minion->last_answer_sent, sent);
+  minion->told = std::max(minion->told, order.acknowledged);
+  if (answer.clock_ms >= minion->clock_ms || minion->clock_at < sent) {
+    minion->clock_ms = answer.clock_ms;
+    minion->clock_at = now;
+  }
+  if (answer.skipped_rows > 0) {
+    counters_.Add("sched_look_rows_skipped", answer.skipped_rows);
+  }
+  TakeEnds(now, *minion, answer);
+  TakeRunning(now, sent, *minion, answer);
+  Acknowledge(*minion);
+}
+
+void work_core::impl::TakeEnds(instant now,
+                               minion_entry& minion,
+                               const look_answer& answer) {
+  for (const listed_end& end : answer.ended) {
+    if (end.number <= minion.processed) {
+      continue;
+    }
+    minion.processed = end.number;
+    Note("run_ended", end.run.task.job, FormatRun(end.run), minion.report.id,
+         std::string(GetName(end.how)));
+    const member_ref ref = FindMember(end.run, minion.report.id);
+    if (ref.member != nullptr) {
+      TakeEnd(now, minion, ref, end);
+    } else {
+      TakeLateEnd(now, end);
+    }
+    const auto job = jobs_.find(end.run.task.job);
+    minion.pending.push_back({end.number, end.run.task.job,
+                              job == jobs_.end() ? 0 : job->second.change});
+  }
+}
+
+void work_core::impl::TakeRunning(instant now,
+                                  instant sent,
+                                  minion_entry& minion,
+                                  const look_answer& answer) {
+  std::set<run_key> listed;
+  for (const listed_run& run : answer.running) {
+    listed.insert(run.run);
+    const member_ref ref = FindMember(run.run, minion.report.id);
+    if (ref.member == nullptr) {
+      StopOrphan(minion, run);
+      continue;
+    }
+    const member_phase phase = ref.member->phase;
+    if (phase == member_phase::kInherited || phase == member_phase::kUnsure ||
+        phase == member_phase::kStarting) {
+      ref.member->life.address = minion.report.address;
+      ConfirmMember(now, ref);
+    }
+    if (ref.member->percent != run.percent) {
+      ref.member->percent = run.percent;
+      ref.member->progressed_at = now;
+    }
+    if (run.checkpoint > ref.unit->checkpoint) {
+      ref.unit->checkpoint = run.checkpoint;
+    }
+  }
+  if (answer.ended.size() >= kFullListing) {
+    return;
+  }
+  const std::set<run_key> members = minion.members;
+  for (const run_key& run : members) {
+    const member_ref ref = FindMember(run, minion.report.id);
+    if (ref.member == nullptr || listed.contains(run)) {
+      continue;
+    }
+    const unit_member& member = *ref.member;
+    const bool is_gone =
+        member.phase == member_phase::kInherited ||
+        (member.phase == member_phase::kRunning &&
+         member.confirmed_at < sent) ||
+        (member.phase == member_phase::kStopping &&
+         member.is_stop_acknowledged && member.stop_acknowledged_at <= sent);
+    if (is_gone) {
+      LoseMember(now, ref, "its minion does not list it");
+    }
+  }
+}
+
+// A run that no unit counts on: started late, or left by an earlier owner.
+void work_core::impl::StopOrphan(const minion_entry& minion,
+                                 const listed_run& run) {
+  counters_.Add("sched_orphans_stopped");
+  Note("orphan_stopped", run.run.task.job, FormatRun(run.run), minion.report.id,
+       "");
+  actions_.stops.push_back(
+      {{minion.report.id, minion.report.born_unix_ms, minion.report.address},
+       run.run,
+       fence_});
+}
+
+// Ends are acknowledged in order, once what they changed is durable.
+void work_core::impl::Acknowledge(minion_entry& minion) {
+  std::size_t count = 0;
+  for (const unacknowledged_end& end : minion.pending) {
+    const auto job = jobs_.find(end.job);
+    if (job != jobs_.end() && job->second.written < end.change) {
+      break;
+    }
+    minion.acknowledged = end.number;
+    ++count;
+  }
+  minion.pending.erase(minion.pending.begin(),
+                       minion.pending.begin() + static_cast<long>(count));
+}
+
+bool work_core::impl::HasLapsed(instant now, const minion_entry& minion) const {
+  const auto longest = std::chrono::duration_cast<duration>(
+      options_.greatest_lease * kClockSlack);
+  return !minion.is_answering &&
+         now > minion.last_grant + longest + kLapseSlack;
+}
+
+// Runs on a minion that is silent for longer than any lease are over.
+void work_core::impl::CheckMinions(instant now) {
+  for (auto& [id, minion] : minions_) {
+    if (minion.members.empty() || !HasLapsed(now, minion)) {
+      continue;
+    }
+    const std::set<run_key> members = minion.members;
+    for (const run_key& run : members) {
+      const member_ref ref = FindMember(run, id);
+      CheckInvariant(ref.member != nullptr, "minion_lists_live_members_only");
+      if (ref.member != nullptr) {
+        LoseMember(now, ref, "its lease has run out");
+      }
+    }
+  }
+}
+
+std::int64_t work_core::impl::LeaseUntil(instant now,
+                                         const minion_entry& minion) const {
+  const auto passed = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - minion.clock_at);
+  const auto lease = std::chrono::duration_cast<std::chrono::milliseconds>(
+      options_.greatest_lease);
+  return minion.clock_ms + passed.count() + lease.count();
+}
+
+bool work_core::impl::AwaitsListing(const minion_entry& minion) {
+  return std::any_of(minion.members.begin(), minion.members.end(),
+                     [&](const run_key& run) {
+                       const member_ref ref = FindMember(run, minion.report.id);
+                       return ref.member != nullptr &&
+                              ref.member->phase == member_phase::kStopping &&
+                              ref.member->is_stop_acknowledged;
+                     });
+}
+
+void work_core::impl::EmitLooks(instant now) {
+  for (auto& [id, minion] : minions_) {
+    if (minion.report.address.empty()) {
+      continue;
+    }
+    if (!minion.is_known || !minion.is_answering) {
+      const bool is_wanted = minion.is_listed || !minion.members.empty();
+      if (is_wanted && !minion.is_look_out && now >= minion.next_look) {
+        EmitLook(now, minion, duration(0), false);
+      }
+      continue;
+    }
+    const bool is_in_use =
+        !minion.members.empty() || minion.told < minion.processed;
+    if (is_in_use && !minion.is_look_out && now >= minion.next_look) {
+      const bool waits_for_store = !minion.pending.empty();
+      if (waits_for_store) {
+        minion.next_look = now + kPendingInterval;
+      }
+      EmitLook(
+          now, minion,
+          waits_for_store || minion.members.empty() ? duration(0) : kLookWait,
+          false);
+    }
+    if (!minion.is_extra_look_out && now >= minion.next_quick_look &&
+        AwaitsListing(minion)) {
+      minion.next_quick_look = now + kExtraInterval;
+      EmitLook(now, minion, duration(0), true);
+    }
+  }
+}
+
+// A lease is extended only where the last look was answered, so that the time
+// at which an unreachable minion's runs are over is known.
+void work_core::impl::EmitLook(instant now,
+                               minion_entry& minion,
+                               duration wait,
+                               bool is_extra) {
+  look_order order;
+  order.minion = {minion.report.id, minion.report.born_unix_ms,
+                  minion.report.address};
+  order.fence = fence_;
+  order.acknowledged = minion.acknowledged;
+  order.wait = wait;
+  order.is_extra = is_extra;
+  if (minion.is_known && minion.is_answering && !minion.members.empty()) {
+    order.until_clock_ms = LeaseUntil(now, minion);
+    minion.last_grant = now;
+  }
+  (is_extra ? minion.is_extra_look_out : minion.is_look_out) = true;
+  actions_.looks.push_back(std::move(order));
+}
+
+std::string_view work_core::impl::HealthOf(instant now,
+                                           const minion_entry& minion) const {
+  if (!minion.is_listed) {
+    return "not listed";
+  }
+  if (minion.report.is_draining) {
+    return "draining";
+  }
+  if (!minion.is_known) {
+    return "not looked at yet";
+  }
+  if (!minion.is_answering) {
+    return "silent";
+  }
+  return now < minion.avoid_until ? "avoided" : "usable";
+}
+
+// Judges a minion by failures of different jobs without a success between.
+void work_core::impl::JudgeEnd(instant now,
+                               minion_entry& minion,
+                               const std::string& job,
+                               run_end how) {
+  if (how == run_end::kDone) {
+    minion.failed_jobs.clear();
+    minion.penalties = 0;
+  } else if (how == run_end::kFailed) {
+    minion.failed_jobs.insert(job);
+    if (minion.failed_jobs.size() >= kSuspiciousFailures) {
+      AvoidMinion(now, minion, "failures of several jobs");
+    }
+  }
+}
+
+void work_core::impl::AvoidMinion(instant now,
+                                  minion_entry& minion,
+                                  std::string_view why) {
+  counters_.Add("sched_minions_avoided");
+  minion.avoid_until = now + kFirstAvoidance * (1 << minion.penalties);
+  minion.penalties = std::min(minion.penalties + 1, kMaxPenalties);
+  Note("minion_avoided", "", "", minion.report.id, std::string(why));
+}
+
+std::vector<minion_status> work_core::impl::Minions() const {
+  std::vector<minion_status> rows;
+  for (const auto& [id, minion] : minions_) {
+    rows.push_back({id, minion.report.service, "", minion.report.capacity,
+                    minion.used, static_cast<int>(minion.members.size())});
+    rows.back().health = HealthOf(minion.clock_at, minion);
+  }
+  return rows;
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/work_records.cc
@@ -0,0 +1,104 @@
+#include <algorithm>
+#include <chrono>
+
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// Rows of one transaction; the platform takes 100 entries and 1 MB.
+constexpr std::size_t kMaxRowsPerCommit = 30;
+// Pause after a commit that failed; doubles up to the limit.
+constexpr duration kFirstBackoff = std::chrono::milliseconds(20);
+constexpr duration kGreatestBackoff = std::chrono::milliseconds(320);
+
+job_record RecordOf(const job_entry& job) {
+  job_record record;
+  record.state = job.state;
+  for (const work_unit& unit : job.units) {
+    if (unit.run == 0 && !unit.is_done) {
+      continue;
+    }
+    recorded_unit recorded{unit.occurrence, unit.step,   unit.index,
+                           unit.run,        unit.failed, unit.is_done,
+                           unit.checkpoint, {}};
+    for (const unit_member& member : unit.members) {
+      if (member.phase != member_phase::kOver) {
+        recorded.members.push_back(
+            {member.index, member.life.id, member.life.born_unix_ms});
+      }
+    }
+    record.units.push_back(std::move(recorded));
+  }
+  return record;
+}
+
+}  // namespace
+
+void work_core::impl::MarkChanged(job_entry& job) {
+  job.change = ++changes_;
+}
+
+// One commit at a time: what changes meanwhile goes with the next one. Each
+// row expects the version that this owner wrote last, so that a write whose
+// answer was lost cannot take effect after a newer one.
+void work_core::impl::EmitCommit(instant now) {
+  if (is_commit_out_ || now < next_commit_) {
+    return;
+  }
+  std::vector<const job_entry*> changed;
+  for (const auto& [id, job] : jobs_) {
+    if (job.change > job.written) {
+      changed.push_back(&job);
+    }
+  }
+  if (changed.empty()) {
+    return;
+  }
+  std::sort(changed.begin(), changed.end(),
+            [](const job_entry* left, const job_entry* right) {
+              return std::pair(left->job.priority, left->change) <
+                     std::pair(right->job.priority, right->change);
+            });
+  changed.resize(std::min(changed.size(), kMaxRowsPerCommit));
+  table_transaction transaction;
+  sent_records_.clear();
+  for (const job_entry* job : changed) {
+    transaction.push_back({kRecordTable + job->job.id, job->record_version,
+                           EncodeRecord(RecordOf(*job))});
+    sent_records_.push_back({job->job.id, job->change});
+  }
+  is_commit_out_ = true;
+  actions_.commit = std::move(transaction);
+}
+
+void work_core::impl::TakeCommit(instant now, const commit_answer& answer) {
+  is_commit_out_ = false;
+  for (const sent_record& sent : sent_records_) {
+    const auto it = jobs_.find(sent.job);
+    const table_row* row = FindRow(answer.rows, kRecordTable + sent.job);
+    if (it == jobs_.end() || row == nullptr) {
+      continue;
+    }
+    it->second.record_version = row->version;
+    if (answer.state == answer_state::kDone) {
+      it->second.written = std::max(it->second.written, sent.change);
+    }
+  }
+  if (answer.state == answer_state::kDone) {
+    commit_backoff_ = duration(0);
+    for (auto& [id, minion] : minions_) {
+      Acknowledge(minion);
+    }
+    return;
+  }
+  counters_.Add("sched_commit_failed");
+  Note("record_not_written", "", "", "",
+       std::string(GetName(answer.state)) + " " +
+           std::string(GetErrorInfo(answer.reason).name));
+  commit_backoff_ =
+      std::clamp(commit_backoff_ * 2, kFirstBackoff, kGreatestBackoff);
+  next_commit_ = now + commit_backoff_;
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/work_runs.cc
@@ -0,0 +1,387 @@
+#include <algorithm>
+#include <chrono>
+
+#include "sassafras/core/invariant.h"
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// A start without an answer is sent again after it; twice a usual call.
+constexpr duration kResendInterval = std::chrono::milliseconds(50);
+// Sends of one start before its run is given up.
+constexpr int kMaxSends = 3;
+// A stop without an answer is sent again after it.
+constexpr duration kStopInterval = std::chrono::milliseconds(150);
+// Members of a gang that is done end by themselves; they are stopped only if
+// their end is not listed within it, two regular looks.
+constexpr duration kDoneStopDelay = std::chrono::seconds(3);
+// A unit whose start was refused waits so long before it is placed again.
+constexpr duration kRefusedPause = std::chrono::milliseconds(200);
+
+bool MayStillRun(const unit_member& member) {
+  return member.phase != member_phase::kOver &&
+         member.phase != member_phase::kPlanned;
+}
+
+// The newer of two checkpoints of one unit. Any is valid; the platform's
+// checkpoints begin with the amount of work in fixed width.
+void KeepNewer(std::string& kept, const std::string& other) {
+  if (other > kept) {
+    kept = other;
+  }
+}
+
+}  // namespace
+
+run_key work_core::impl::KeyOf(const job_entry& job,
+                               const work_unit& unit,
+                               const unit_member& member) {
+  return {{job.job.id, unit.occurrence, unit.step, member.index}, unit.run};
+}
+
+work_core::impl::member_ref work_core::impl::FindMember(
+    const run_key& run,
+    const std::string& minion) {
+  const auto job = jobs_.find(run.task.job);
+  if (job == jobs_.end()) {
+    return {};
+  }
+  for (work_unit& unit : job->second.units) {
+    if (unit.occurrence != run.task.occurrence || unit.step != run.task.step ||
+        unit.run != run.run) {
+      continue;
+    }
+    for (unit_member& member : unit.members) {
+      if (member.index == run.task.index && member.life.id == minion &&
+          member.phase != member_phase::kOver) {
+        return {&job->second, &unit, &member};
+      }
+    }
+  }
+  return {};
+}
+
+// Starts leave only once the record that names the minions is durable.
+void work_core::impl::EmitStarts(instant now) {
+  for (auto& [id, job] : jobs_) {
+    if (job.IsEnded()) {
+      continue;
+    }
+    for (work_unit& unit : job.units) {
+      if (unit.phase == unit_phase::kRecorded &&
+          job.written >= unit.record_change) {
+        StartUnit(now, job, unit);
+      } else if (unit.phase == unit_phase::kActive) {
+        for (unit_member& member : unit.members) {
+          const bool is_due = member.phase == member_phase::kUnsure &&
+                              !member.is_order_out && now >= member.next_send;
+          if (is_due && member.sends < kMaxSends) {
+            SendStart(now, job, unit, member);
+          } else if (is_due) {
+            AvoidMinion(now, MinionOf(member.life.id), "start not answered");
+            CloseUnit(now, job, unit, "start not answered");
+            break;
+          }
+        }
+      }
+    }
+  }
+}
+
+// All members or none: if one place became unfit meanwhile, nothing is sent.
+void work_core::impl::StartUnit(instant now, job_entry& job, work_unit& unit) {
+  for (const unit_member& member : unit.members) {
+    const minion_entry& minion = MinionOf(member.life.id);
+    const bool is_same = minion.report.born_unix_ms == member.life.born_unix_ms;
+    if (!is_same || HealthOf(now, minion) != "usable") {
+      counters_.Add("sched_start_dropped_minion_unfit");
+      CloseUnit(now, job, unit, "a chosen minion became unfit");
+      return;
+    }
+  }
+  unit.phase = unit_phase::kActive;
+  for (unit_member& member : unit.members) {
+    SendStart(now, job, unit, member);
+  }
+}
+
+void work_core::impl::SendStart(instant now,
+                                job_entry& job,
+                                work_unit& unit,
+                                unit_member& member) {
+  minion_entry& minion = MinionOf(member.life.id);
+  if (member.sends == 0) {
+    member.first_sent = now;
+  }
+  ++member.sends;
+  member.phase = member_phase::kStarting;
+  member.is_order_out = true;
+  minion.last_grant = now;
+  actions_.starts.push_back({member.life, KeyOf(job, unit, member),
+                             job.job.spec.payload, unit.checkpoint,
+                             LeaseUntil(now, minion), fence_});
+}
+
+void work_core::impl::TakeStartAnswer(instant now,
+                                      const start_order& order,
+                                      order_outcome outcome) {
+  counters_.Add("sched_start_" + std::string(GetName(outcome)));
+  const member_ref ref = FindMember(order.run, order.minion.id);
+  if (outcome != order_outcome::kDone) {
+    Note("start_not_done", order.run.task.job, FormatRun(order.run),
+         order.minion.id, std::string(GetName(outcome)));
+  }
+  if (ref.member == nullptr || !ref.member->life.IsSameLife(order.minion)) {
+    return;
+  }
+  ref.member->is_order_out = false;
+  if (ref.member->phase != member_phase::kStarting) {
+    return;  // It is being stopped; the stop decides.
+  }
+  switch (outcome) {
+    case order_outcome::kDone:
+      ConfirmMember(now, ref);
+      return;
+    case order_outcome::kUnknown:
+      ref.member->phase = member_phase::kUnsure;
+      ref.member->next_send = now + kResendInterval;
+      return;
+    case order_outcome::kNotSent:
+    case order_outcome::kUnhealthy:
+    case order_outcome::kNoRoom:
+      AvoidMinion(now, MinionOf(order.minion.id), GetName(outcome));
+      break;
+    default:
+      break;
+  }
+  // An earlier send of this order may still be carried out.
+  if (ref.member->sends > 1) {
+    ref.member->phase = member_phase::kStopping;
+    CloseUnit(now, *ref.job, *ref.unit, GetName(outcome));
+    return;
+  }
+  ref.unit->not_before = now + kRefusedPause;
+  LoseMember(now, ref, GetName(outcome));
+}
+
+void work_core::impl::ConfirmMember(instant now, const member_ref& ref) {
+  ref.member->phase = member_phase::kRunning;
+  ref.member->confirmed_at = now;
+  ref.member->progressed_at = now;
+  if (!ref.unit->has_started) {
+    ref.unit->has_started = true;
+    UpdateState(now, *ref.job);
+  }
+}
+
+// Ends the current run. Members that no start has left for are over at once;
+// the others are stopped until they are certainly over.
+void work_core::impl::CloseUnit(instant now,
+                                job_entry& job,
+                                work_unit& unit,
+                                std::string_view why) {
+  if (unit.phase == unit_phase::kWaiting || unit.phase == unit_phase::kDone) {
+    return;
+  }
+  if (unit.phase != unit_phase::kClosing) {
+    unit.phase = unit_phase::kClosing;
+    counters_.Add("sched_runs_closed");
+    Note("run_closed", job.job.id,
+         std::to_string(unit.occurrence) + "." + std::to_string(unit.step) +
+             "." + std::to_string(unit.index) + "#" + std::to_string(unit.run),
+         "", std::string(why));
+  }
+  for (unit_member& member : unit.members) {
+    if (member.phase == member_phase::kPlanned) {
+      EndMember(now, job, unit, member);
+    } else if (MayStillRun(member) && member.phase != member_phase::kStopping) {
+      member.phase = member_phase::kStopping;
+      member.next_send = unit.is_done ? now + kDoneStopDelay : now;
+    }
+  }
+  SettleUnit(now, job, unit);
+}
+
+void work_core::impl::EndMember(instant now,
+                                job_entry& job,
+                                work_unit& unit,
+                                unit_member& member) {
+  CheckInvariant(member.phase != member_phase::kOver, "member_ends_once");
+  member.phase = member_phase::kOver;
+  const run_key key = KeyOf(job, unit, member);
+  places_.erase(key);
+  minion_entry& minion = MinionOf(member.life.id);
+  minion.used -= job.job.spec.steps.at(unit.step).needs;
+  minion.members.erase(key);
+  CheckInvariant(minion.used.accelerators >= 0, "room_in_use_is_not_negative");
+  should_place_ = true;
+  (void)now;
+}
+
+// A closed run of which nothing can be left makes its unit free again.
+void work_core::impl::SettleUnit(instant now, job_entry& job, work_unit& unit) {
+  if (unit.phase != unit_phase::kClosing) {
+    return;
+  }
+  const bool is_over = std::all_of(unit.members.begin(), unit.members.end(),
+                                   [](const unit_member& member) {
+                                     return member.phase == member_phase::kOver;
+                                   });
+  if (!is_over) {
+    return;
+  }
+  unit.members.clear();
+  unit.has_run_failed = false;
+  unit.phase = unit.is_done ? unit_phase::kDone : unit_phase::kWaiting;
+  unit.waiting_since = now;
+  should_place_ = true;
+  MarkChanged(job);
+}
+
+void work_core::impl::LoseMember(instant now,
+                                 const member_ref& ref,
+                                 std::string_view why) {
+  counters_.Add("sched_members_lost");
+  Note("member_over", ref.job->job.id,
+       FormatRun(KeyOf(*ref.job, *ref.unit, *ref.member)), ref.member->life.id,
+       std::string(why));
+  EndMember(now, *ref.job, *ref.unit, *ref.member);
+  CloseUnit(now, *ref.job, *ref.unit, why);
+}
+
+void work_core::impl::TakeEnd(instant now,
+                              minion_entry& minion,
+                              const member_ref& ref,
+                              const listed_end& end) {
+  job_entry& job = *ref.job;
+  work_unit& unit = *ref.unit;
+  JudgeEnd(now, minion, job.job.id, end.how);
+  KeepNewer(unit.checkpoint, end.checkpoint);
+  EndMember(now, job, unit, *ref.member);
+  const bool is_persistent = job.job.spec.steps.at(unit.step).is_persistent;
+  if (end.how == run_end::kDone && !unit.is_done && !is_persistent) {
+    unit.is_done = true;
+    MarkChanged(job);
+  } else if (end.how == run_end::kFailed) {
+    CountFailure(now, job, unit);
+  }
+  CloseUnit(now, job, unit, GetName(end.how));
+  MarkChanged(job);
+  UpdateState(now, job);
+}
+
+// A run that was taken to be over has ended well after all. If the task was
+// not started again since, that end counts.
+void work_core::impl::TakeLateEnd(instant now, const listed_end& end) {
+  const auto it = jobs_.find(end.run.task.job);
+  if (end.how != run_end::kDone || it == jobs_.end()) {
+    return;
+  }
+  job_entry& job = it->second;
+  for (work_unit& unit : job.units) {
+    const bool is_it = unit.occurrence == end.run.task.occurrence &&
+                       unit.step == end.run.task.step &&
+                       (unit.width > 1 || unit.index == end.run.task.index);
+    if (is_it && !unit.is_done && unit.run >= end.run.run) {
+      counters_.Add("sched_late_done");
+      Note("late_done", job.job.id, FormatRun(end.run), "", "");
+      unit.is_done = true;
+      if (unit.phase == unit_phase::kWaiting) {
+        unit.phase = unit_phase::kDone;
+      }
+      CloseUnit(now, job, unit, "done earlier");
+      MarkChanged(job);
+      UpdateState(now, job);
+    }
+  }
+}
+
+// A failed run of a gang counts once, whichever members list it.
+void work_core::impl::CountFailure(instant now,
+                                   job_entry& job,
+                                   work_unit& unit) {
+  if (unit.has_run_failed || unit.is_done) {
+    return;
+  }
+  unit.has_run_failed = true;
+  ++unit.failed;
+  MarkChanged(job);
+  if (unit.failed < job.job.attempts ||
+      job.job.spec.steps.at(unit.step).is_persistent || job.IsEnded()) {
+    return;
+  }
+  job.state = job_state::kFailed;
+  job.ended_at = now;
+  Note("job_failed", job.job.id, std::to_string(unit.step), "",
+       "failed runs: " + std::to_string(unit.failed));
+  for (work_unit& other : job.units) {
+    CloseUnit(now, job, other, "the job has failed");
+  }
+}
+
+void work_core::impl::UpdateState(instant now, job_entry& job) {
+  const job_state before = job.state;
+  if (job.IsEnded()) {
+    return;
+  }
+  const auto is_done = [](const work_unit& unit) { return unit.is_done; };
+  const auto has_started = [](const work_unit& unit) {
+    return unit.has_started;
+  };
+  if (std::all_of(job.units.begin(), job.units.end(), is_done)) {
+    job.state = job_state::kComplete;
+  } else if (job.is_cancelled) {
+    job.state = job_state::kCancelled;
+  } else if (std::any_of(job.units.begin(), job.units.end(), has_started)) {
+    job.state = job_state::kRunning;
+  }
+  if (job.state == before) {
+    return;
+  }
+  if (job.IsEnded()) {
+    job.ended_at = now;
+  }
+  Note("job_state", job.job.id, "", "", std::string(GetName(job.state)));
+  MarkChanged(job);
+}
+
+// A stop is sent until it is answered; then the minion's list decides.
+void work_core::impl::EmitStops(instant now) {
+  for (auto& [id, job] : jobs_) {
+    for (work_unit& unit : job.units) {
+      if (unit.phase != unit_phase::kClosing) {
+        continue;
+      }
+      for (unit_member& member : unit.members) {
+        const bool is_due = member.phase == member_phase::kStopping &&
+                            !member.is_stop_acknowledged &&
+                            !member.life.address.empty() &&
+                            now >= member.next_send;
+        if (!is_due) {
+          continue;
+        }
+        member.next_send = now + kStopInterval;
+        actions_.stops.push_back(
+            {member.life, KeyOf(job, unit, member), fence_});
+      }
+    }
+  }
+}
+
+void work_core::impl::TakeStopAnswer(instant now,
+                                     const stop_order& order,
+                                     order_outcome outcome) {
+  counters_.Add("sched_stop_" + std::string(GetName(outcome)));
+  const member_ref ref = FindMember(order.run, order.minion.id);
+  if (ref.member == nullptr || ref.member->phase != member_phase::kStopping ||
+      !ref.member->life.IsSameLife(order.minion)) {
+    return;
+  }
+  if (outcome == order_outcome::kDone || outcome == order_outcome::kOldRun) {
+    ref.member->is_stop_acknowledged = true;
+    ref.member->stop_acknowledged_at = now;
+  }
+}
+
+}  // namespace sassafras::sched
--- /dev/null
+++ b/src/sched/work_state.h
@@ -0,0 +1,123 @@
+#ifndef SASSAFRAS_SRC_SCHED_WORK_STATE_H_
+#define SASSAFRAS_SRC_SCHED_WORK_STATE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "sassafras/core/time.h"
+#include "sassafras/sched/job_model.h"
+#include "sassafras/sched/minion_orders.h"
+
+namespace sassafras::sched {
+
+/// Where one member of a run stands.
+enum class member_phase : std::uint8_t {
+  kPlanned,    ///< Room is reserved; no start has left.
+  kStarting,   ///< A start has left and is not answered.
+  kUnsure,     ///< A start was not answered in time; it is sent again.
+  kRunning,    ///< The minion has confirmed it.
+  kInherited,  ///< Recorded by an earlier owner; not yet looked for.
+  kStopping,   ///< It must end; stops are sent until it is certainly over.
+  kOver,       ///< It is certainly over and can never start.
+};
+
+/// One task of a unit's current run.
+struct unit_member {
+  int index = 0;  ///< Of the task in its step.
+  minion_life life;
+  member_phase phase = member_phase::kPlanned;
+  int sends = 0;              ///< Starts that left.
+  bool is_order_out = false;  ///< An order is under way.
+  instant first_sent;
+  instant next_send;     ///< Earliest time of the next order.
+  instant confirmed_at;  ///< The start was answered, if kRunning.
+  bool is_stop_acknowledged = false;
+  instant stop_acknowledged_at;
+  int percent = 0;        ///< Progress that the minion stated last.
+  instant progressed_at;  ///< When that changed last.
+};
+
+enum class unit_phase : std::uint8_t {
+  kWaiting,   ///< Not placed.
+  kClaimed,   ///< Placed; evicted runs still hold some of its room.
+  kRecorded,  ///< Placed; its record is being made durable.
+  kActive,    ///< Starts have left.
+  kClosing,   ///< Its run ends; some members are not certainly over.
+  kDone,
+};
+
+/// What is placed and run together: a gang, or one task of another step.
+struct work_unit {
+  int occurrence = 0;
+  int step = 0;
+  int index = 0;  ///< 0 for a gang.
+  int width = 1;  ///< Tasks in it.
+  unit_phase phase = unit_phase::kWaiting;
+  std::int64_t run = 0;  ///< Of the current or last run.
+  int failed = 0;
+  bool is_done = false;
+  bool has_run_failed = false;  ///< The current run counts as failed.
+  bool has_started = false;     ///< A member was confirmed at least once.
+  std::string checkpoint;
+  std::vector<unit_member> members;
+  instant waiting_since;
+  instant not_before;  ///< Not placed again until then.
+  instant claimed_at;
+  std::uint64_t record_change = 0;  ///< Change that names the current run.
+};
+
+struct job_entry {
+  accepted_job job;
+  std::uint64_t accepted_version = 0;  ///< Order of acceptance.
+  instant seen_at;
+  bool is_cancelled = false;
+  job_state state = job_state::kQueued;
+  std::vector<work_unit> units;
+  std::uint64_t change = 0;   ///< Number of its last change.
+  std::uint64_t written = 0;  ///< Last change that is durable.
+  std::uint64_t record_version = 0;
+  instant ended_at;
+
+  bool IsEnded() const {
+    return state == job_state::kComplete || state == job_state::kFailed ||
+           state == job_state::kCancelled;
+  }
+};
+
+/// An end that may be acknowledged once `change` of `job` is durable.
+struct unacknowledged_end {
+  std::int64_t number = 0;
+  std::string job;
+  std::uint64_t change = 0;
+};
+
+struct minion_entry {
+  minion_report report;
+  bool is_listed = false;     ///< In the last list that was read.
+  bool is_known = false;      ///< This life has answered under our fence.
+  bool is_answering = false;  ///< Its last look was answered.
+  std::int64_t clock_ms = 0;  ///< Its clock at `clock_at`.
+  instant clock_at;
+  instant last_grant;             ///< Last order that extended its lease left.
+  instant last_answer_sent;       ///< Latest look that was answered left then.
+  room used;                      ///< Of all members that are not over.
+  std::set<run_key> members;      ///< Runs that are not over here.
+  std::int64_t acknowledged = 0;  ///< Ends up to it may be forgotten.
+  std::int64_t processed = 0;     ///< Ends up to it were taken in.
+  std::vector<unacknowledged_end> pending;
+  std::int64_t told = 0;  ///< Acknowledged in an answered look.
+  bool is_look_out = false;
+  bool is_extra_look_out = false;
+  instant next_look;
+  instant next_quick_look;
+  instant avoid_until;                ///< Gets no tasks until then.
+  std::set<std::string> failed_jobs;  ///< Of failures since its last success.
+  int penalties = 0;
+};
+
+}  // namespace sassafras::sched
+
+#endif  // SASSAFRAS_SRC_SCHED_WORK_STATE_H_
