--- a/include/sassafras/sched/job_model.h
+++ b/include/sassafras/sched/job_model.h
@@ -63,6 +63,19 @@
   int max_per_minion = 0;       ///< 0: no limit.
   std::string required_label;   ///< Empty: any minion.
   std::string data_rack;        ///< Rack of its data; empty: none.
+  std::string image;            ///< What its tasks run; empty: not stated.
+  duration tail_target{0};      ///< Of the users a task serves; 0: none.
+  bool is_filler = false;  ///< Uses leftover cores; none are reserved for it.
+  int may_miss = 0;  ///< Tasks of a persistent step that may be away at once.
+
+  /// Room to reserve for one task.
+  room Reserved() const {
+    room reserved = needs;
+    if (is_filler) {
+      reserved.millicores = 0;
+    }
+    return reserved;
+  }
 };
 
 /// What a caller hands in.
--- a/include/sassafras/sched/minion_orders.h
+++ b/include/sassafras/sched/minion_orders.h
@@ -41,6 +41,7 @@
 enum class order_outcome : std::uint8_t {
   kDone,
   kFenced,     ///< A higher fence stands there. Nothing was done.
+  kNoTicket,   ///< The ticket is missing or no longer valid.
   kOldRun,     ///< This run or a higher one ended or was stopped there.
   kTooLate,    ///< The lease of the order had run out. Nothing was done.
   kNoRoom,     ///< The minion refused for want of room.
@@ -62,6 +63,42 @@
   std::string checkpoint;           ///< Empty: from the beginning.
   std::int64_t until_clock_ms = 0;  ///< Lease, on the minion's clock.
   std::uint64_t fence = 0;
+  std::string ticket;  ///< Of the queue's policy; empty: none needed.
+};
+
+/// Tells a minion how much of its speed a run may use.
+struct pace_order {
+  minion_life minion;
+  run_key run;
+  int percent = 100;
+  std::uint64_t fence = 0;
+};
+
+/// One step of one occurrence of a job.
+struct step_key {
+  std::string job;
+  int occurrence = 0;
+  int step = 0;
+
+  auto operator<=>(const step_key&) const = default;
+};
+
+/// Asks the policy of a queue which minions may run a step.
+struct advice_request {
+  step_key step;
+  std::vector<std::string> minions;  ///< At most 100 ids.
+};
+
+/// A minion that may run the step, with the proof that a start must carry.
+struct advised_minion {
+  std::string id;
+  std::string ticket;
+};
+
+struct advice_answer {
+  bool is_answered = false;  ///< Else nothing is known of any minion.
+  std::vector<advised_minion> good;
+  duration validity{0};
 };
 
 /// Tells a minion to stop a run, and never to start it if it is not there.
@@ -89,7 +126,8 @@
 struct listed_run {
   run_key run;
   std::string checkpoint;
-  int percent = 0;  ///< Progress as the minion states it.
+  int percent = 0;        ///< Progress as the minion states it.
+  std::int64_t load = 0;  ///< Tail in ms if it serves, else millicores in use.
 };
 
 /// An end that a minion lists until it is acknowledged.
@@ -115,6 +153,10 @@
       start;
   std::function<void(stop_order, std::function<void(order_answer)> done)> stop;
   std::function<void(look_order, std::function<void(look_answer)> done)> look;
+  std::function<void(pace_order, std::function<void(order_answer)> done)> pace;
+  /// Empty where no queue has a policy.
+  std::function<void(advice_request, std::function<void(advice_answer)> done)>
+      advise;
 };
 
 /// The platform's list of minions.
--- a/include/sassafras/sched/placement.h
+++ b/include/sassafras/sched/placement.h
@@ -18,8 +18,8 @@
   room free;  ///< May be negative while evicted runs still stop.
   room capacity;
   room evictable;  ///< Held by runs that may be stopped for this request.
-  double evict_cost = 0;  ///< Work lost if all of `evictable` is stopped.
-  int same_step = 0;      ///< Tasks of the same step that it runs already.
+  double evict_cost = 0;       ///< Work lost if all of `evictable` is stopped.
+  int same_step = 0;           ///< Tasks of the same step that it runs already.
   bool has_failed_it = false;  ///< A run of this request failed here.
 };
 
--- a/include/sassafras/sched/service_config.h
+++ b/include/sassafras/sched/service_config.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,13 @@
 
 namespace sassafras::sched {
 
+/// How the policy of a queue names the minions that may run a step.
+struct advice_terms {
+  duration decision{0};    ///< Time of one answer,
+  duration per_minion{0};  ///< and for each minion asked about.
+  duration validity{0};    ///< Of a ticket.
+};
+
 /// A queue that callers hand jobs to, found by host and path prefix.
 struct job_queue {
   std::string name;
@@ -23,7 +31,8 @@
   int attempts = 1;
   double stretch = 1;
   duration target{0};
-  bool is_anonymous = false;  ///< Takes calls without a key.
+  bool is_anonymous = false;           ///< Takes calls without a key.
+  std::optional<advice_terms> advice;  ///< Empty: any minion may run a step.
 };
 
 /// A pool of minions.
--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -42,6 +42,8 @@
   std::vector<start_order> starts;
   std::vector<stop_order> stops;
   std::vector<look_order> looks;
+  std::vector<pace_order> paces;
+  std::optional<advice_request> advice;  ///< Answered by OnAdvice().
   std::vector<work_note> notes;
 };
 
@@ -104,6 +106,18 @@
                 const look_order& order,
                 const look_answer& answer);
   void OnCommit(instant now, const commit_answer& answer);
+  void OnPaced(const pace_order& order, order_answer answer);
+  void OnAdvice(instant now,
+                const advice_request& asked,
+                const advice_answer& answer);
+
+  /// Keeps new tasks off a minion whose upkeep is due, or ends that.
+  void Cordon(const std::string& minion, bool is_cordoned);
+
+  /// Whether `minion` may go down now without ending a run that it should
+  /// not. With `is_forced`, runs are stopped as far as they may be; asked
+  /// again until it is true.
+  bool Clear(instant now, const std::string& minion, bool is_forced);
 
   /// Decides what to do. `wall_unix_ms` is the time of day.
   work_actions Decide(instant now, std::int64_t wall_unix_ms);
--- a/programs/entry/config_watch.cc
+++ b/programs/entry/config_watch.cc
@@ -10,6 +10,8 @@
 // The store answers a feed at the latest after it, so that the age of the
 // configuration stays well below the bound on taken keys.
 constexpr duration kFeedWait = std::chrono::milliseconds(1000);
+// Rows of the operator's table in one read: the configuration and waves.
+constexpr std::size_t kMaxRows = 500;
 // Pause before a read or feed that failed is tried again.
 constexpr duration kRetryPause = std::chrono::milliseconds(150);
 
@@ -51,17 +53,20 @@
 
 void config_watch::Read() {
   const instant sent = program_.now();
-  world_.table.read({world_.config_key}, [self = shared_from_this(),
-                                          sent](const read_answer& answer) {
-    if (answer.state != answer_state::kDone) {
-      self->counters_.Add("config_read_failed");
-      self->Retry(&config_watch::Read);
-      return;
-    }
-    self->Adopt(answer.rows.front());
-    self->Confirm(sent, answer.store_version);
-    self->Follow();
-  });
+  world_.table.scan(
+      world_.config_table, "", kMaxRows,
+      [self = shared_from_this(), sent](const read_answer& answer) {
+        if (answer.state != answer_state::kDone) {
+          self->counters_.Add("config_read_failed");
+          self->Retry(&config_watch::Read);
+          return;
+        }
+        for (const table_row& row : answer.rows) {
+          self->Take(row);
+        }
+        self->Confirm(sent, answer.store_version);
+        self->Follow();
+      });
 }
 
 void config_watch::Follow() {
@@ -85,19 +90,25 @@
           return;
         }
         for (const table_row& row : answer.rows) {
-          if (row.key == self->world_.config_key && !row.is_erased) {
-            self->Adopt(row);
-          }
+          self->Take(row);
         }
         self->Confirm(sent, answer.store_version);
         self->Follow();
       });
 }
 
-void config_watch::Adopt(const table_row& row) {
-  if (row.version == 0) {
-    return;  // The operator has written none yet.
+void config_watch::Take(const table_row& row) {
+  if (row.is_erased) {
+    return;
   }
+  if (row.key == world_.config_key) {
+    Adopt(row);
+  } else {
+    program_.on_row(row);
+  }
+}
+
+void config_watch::Adopt(const table_row& row) {
   auto decoded = world_.decode_config(row.value);
   if (!decoded) {
     counters_.Add("config_malformed");
--- a/programs/entry/config_watch.h
+++ b/programs/entry/config_watch.h
@@ -20,6 +20,8 @@
     std::function<void(duration delay, std::function<void()> action)> after;
     /// Called after a newer version came into force.
     std::function<void(sched::service_config_ptr)> on_config;
+    /// Called with each other row that the operator wrote, again on re-reads.
+    std::function<void(const table_row&)> on_row;
   };
 
   static std::shared_ptr<config_watch> Make(const outside& world,
@@ -41,6 +43,7 @@
   void Read();
   void Follow();
   void Retry(void (config_watch::*step)());
+  void Take(const table_row& row);
   void Adopt(const table_row& row);
   void Confirm(instant sent, std::uint64_t store_version);
 
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -54,7 +54,7 @@
       context_(settings_.threads),
       signals_(context_),
       client_(http_client::Make(context_, ClientOptions(), counters_)),
-      world_(make(client_, settings_.store, counters_)),
+      world_(make(client_, settings_, counters_)),
       store_(SuspendAwareNow, counters_),
       table_(store_.Wrap(world_.table)) {}
 
@@ -79,9 +79,11 @@
                            {SuspendAwareNow, WallUnixMs, after});
   config_ = config_watch::Make(
       world_, counters_,
-      {SuspendAwareNow, after, [this](sched::service_config_ptr config) {
+      {SuspendAwareNow, after,
+       [this](sched::service_config_ptr config) {
          owner_->OnConfig(std::move(config));
-       }});
+       },
+       [this](const table_row& row) { owner_->OnOperatorRow(row); }});
   callers_ = caller_service::Make({world_, table_, store_, *config_, settings_,
                                    counters_, metrics_, SuspendAwareNow});
   if (!Listen()) {
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -27,7 +27,7 @@
   /// Makes the outside from the process's HTTP client and settings.
   using make_outside =
       std::function<outside(std::shared_ptr<http_client> client,
-                            const std::string& store,
+                            const entry_settings& settings,
                             counter_table& counters)>;
 
   entry_node(entry_settings settings,
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -2,6 +2,8 @@
 
 #include <charconv>
 #include <chrono>
+#include <optional>
+#include <utility>
 
 #include "sassafras/config/address.h"
 #include "sassafras/config/yaml_reader.h"
@@ -16,8 +18,10 @@
 constexpr duration kLongest = hours(24);
 constexpr int kMaxThreads = 64;
 
-std::string ReadAddress(yaml_reader& reader, const std::string& key) {
-  std::string address = reader.ReadString(key);
+std::string ReadAddress(yaml_reader& reader,
+                        const std::string& key,
+                        std::optional<std::string> fallback = std::nullopt) {
+  std::string address = reader.ReadString(key, std::move(fallback));
   if (!address.empty() && !ParseAddress(address)) {
     reader.AddFault(key, "'" + address + "' is no address",
                     "a numeric IPv4 address with port, as 10.0.0.1:8080");
@@ -76,6 +80,8 @@
              settings.readiness = ReadAddress(reader, "readiness");
              settings.status = ReadAddress(reader, "status");
              settings.store = ReadAddress(reader, "store");
+             settings.advice = ReadAddress(reader, "advice", "");
+             settings.machines = ReadAddress(reader, "machines", "");
              settings.threads = static_cast<int>(
                  reader.ReadInteger("threads", 1, kMaxThreads, 1));
              reader.ReadMap("bounds", [&](yaml_reader& bounds) {
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -18,6 +18,9 @@
   std::string readiness;  ///< "IP:port" where the balancer asks.
   std::string status;     ///< "IP:port" of metrics and status pages.
   std::string store;      ///< "IP:port" of the platform's store.
+  std::string advice;     ///< "IP:port" of the queues' policy; may be empty.
+  std::string machines;   ///< "IP:port" of the service for machines; or empty.
+
   int threads = 1;
   duration greatest_lease{6'000'000};  ///< Of what runs on a minion.
   duration stop_time{400'000};         ///< Longest time a stop takes.
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -28,6 +28,9 @@
 // Counts of waiting jobs may be 2 s old.
 constexpr duration kWaitingInterval = 700ms;
 constexpr duration kExpiryInterval = 10s;
+constexpr duration kUpkeepInterval = 100ms;
+// Readings of the list of machines are rated for all processes together.
+constexpr duration kMachineListInterval = 500ms;
 constexpr std::size_t kPageRows = 500;
 constexpr std::size_t kMaxErasedPerCommit = 30;
 // Fences of one epoch: each time that ownership was lost and regained
@@ -119,6 +122,19 @@
   });
 }
 
+void job_owner::OnOperatorRow(const table_row& row) {
+  const auto wave = world_.decode_wave(row);
+  if (!wave) {
+    counters_.Add("operator_row_unknown");
+    return;
+  }
+  const std::lock_guard lock(mutex_);
+  waves_[wave->number] = *wave;
+  if (upkeep_) {
+    upkeep_->OnWave(program_.now(), *wave);
+  }
+}
+
 void job_owner::Stop(std::function<void()> done) {
   OnLost();
   lease_->Stop(std::move(done));
@@ -154,6 +170,11 @@
     core_ = std::make_unique<sched::work_core>(OptionsOf(settings_), fence,
                                                program_.now(), counters_);
     waiting_written_.clear();
+    upkeep_ = std::make_unique<sched::upkeep_core>(settings_.id.value, fence,
+                                                   counters_);
+    for (const auto& [number, wave] : waves_) {
+      upkeep_->OnWave(program_.now(), wave);
+    }
   }
   counters_.Add("ownership_gained");
   RepeatDecision();
@@ -170,6 +191,7 @@
     }
     holds_ = false;
     core_.reset();
+    upkeep_.reset();
   }
   counters_.Add("ownership_lost");
   LogEvent("ownership_lost", {});
@@ -241,6 +263,9 @@
   ListMinions(tenure);
   PublishWaiting(tenure);
   DropExpired(tenure);
+  if (world_.machines.list) {
+    DecideUpkeep(tenure);
+  }
   ScheduleDecision(kDecisionDelay);
 }
 
@@ -452,6 +477,109 @@
   });
 }
 
+void job_owner::DecideUpkeep(std::uint64_t tenure) {
+  sched::upkeep_actions actions;
+  bool is_list_due = false;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!core_ || tenure_ != tenure) {
+      return;
+    }
+    const instant now = program_.now();
+    sched::upkeep_core::hooks work;
+    work.cordon = [&](const std::string& minion, bool is_cordoned) {
+      core_->Cordon(minion, is_cordoned);
+    };
+    work.clear = [&](const std::string& minion, bool is_forced) {
+      return core_->Clear(now, minion, is_forced);
+    };
+    actions = upkeep_->Decide(now, work);
+    is_list_due = actions.wants_machines && !is_machine_list_out_;
+    is_machine_list_out_ = is_machine_list_out_ || is_list_due;
+  }
+  if (is_list_due) {
+    ListMachines(tenure);
+  }
+  for (const sched::wave_status& status : actions.statuses) {
+    WriteWaveStatus(tenure, status, 0);
+  }
+  for (const sched::upkeep_order& order : actions.orders) {
+    SendUpkeep(tenure, order);
+  }
+  program_.after(kUpkeepInterval, [self = shared_from_this(), tenure] {
+    self->DecideUpkeep(tenure);
+  });
+}
+
+void job_owner::SendUpkeep(std::uint64_t tenure,
+                           const sched::upkeep_order& order) {
+  LogEvent("upkeep_ordered",
+           {{"machine", order.machine}, {"wave", std::to_string(order.wave)}});
+  const auto done = [self = shared_from_this(), tenure,
+                     order](sched::upkeep_outcome outcome) {
+    const std::lock_guard lock(self->mutex_);
+    if (self->upkeep_ && self->tenure_ == tenure) {
+      self->upkeep_->OnOrdered(self->program_.now(), order, outcome);
+    }
+  };
+  if (lease_->MayAct()) {
+    world_.machines.begin_upkeep(order, done);
+  } else {
+    done(sched::upkeep_outcome::kThrottled);
+  }
+}
+
+void job_owner::ListMachines(std::uint64_t tenure) {
+  world_.machines.list(
+      [self = shared_from_this(), tenure](
+          bool is_whole, const std::vector<sched::machine_row>& rows) {
+        {
+          const std::lock_guard lock(self->mutex_);
+          if (is_whole && self->upkeep_ && self->tenure_ == tenure) {
+            self->upkeep_->OnMachines(self->program_.now(), rows);
+          }
+        }
+        self->program_.after(kMachineListInterval, [self] {
+          const std::lock_guard lock(self->mutex_);
+          self->is_machine_list_out_ = false;
+        });
+      });
+}
+
+// Written until it stands: on a conflict with the version that is there.
+void job_owner::WriteWaveStatus(std::uint64_t tenure,
+                                const sched::wave_status& status,
+                                std::uint64_t expected_version) {
+  table_write write = world_.encode_wave_status(status);
+  write.expected_version = expected_version;
+  const std::string key = write.key;
+  lease_->Commit(
+      {std::move(write)}, [self = shared_from_this(), tenure, status, key,
+                           expected_version](const commit_answer& answer) {
+        if (answer.state == answer_state::kDone) {
+          LogEvent("wave_status",
+                   {{"wave", std::to_string(status.wave)},
+                    {"state", status.is_complete ? "complete" : "running"}});
+          return;
+        }
+        {
+          const std::lock_guard lock(self->mutex_);
+          if (!self->core_ || self->tenure_ != tenure) {
+            return;
+          }
+        }
+        const table_row* row = FindRow(answer.rows, key);
+        const std::uint64_t version =
+            row == nullptr ? expected_version : row->version;
+        if (!status.is_complete && version != 0) {
+          return;  // An earlier owner has announced the wave, or finished it.
+        }
+        self->program_.after(kRetryPause, [self, tenure, status, version] {
+          self->WriteWaveStatus(tenure, status, version);
+        });
+      });
+}
+
 void job_owner::Change(
     std::uint64_t tenure,
     const std::function<void(sched::work_core&, instant)>& change) {
@@ -539,6 +667,12 @@
   for (sched::look_order& order : actions.looks) {
     SendLook(tenure, std::move(order));
   }
+  for (sched::pace_order& order : actions.paces) {
+    SendPace(tenure, std::move(order));
+  }
+  if (actions.advice) {
+    SendAdvice(tenure, std::move(*actions.advice));
+  }
   if (actions.commit) {
     const instant sent = program_.now();
     lease_->Commit(
@@ -581,6 +715,36 @@
   world_.orders.stop(std::move(order), done);
 }
 
+void job_owner::SendPace(std::uint64_t tenure, sched::pace_order order) {
+  const auto done = [self = shared_from_this(), tenure,
+                     order](sched::order_answer answer) {
+    self->Change(tenure, [&](sched::work_core& core, instant /*now*/) {
+      core.OnPaced(order, answer);
+    });
+  };
+  if (!lease_->MayAct()) {
+    done({sched::order_outcome::kNotSent});
+    return;
+  }
+  world_.orders.pace(std::move(order), done);
+}
+
+void job_owner::SendAdvice(std::uint64_t tenure,
+                           sched::advice_request request) {
+  const auto done = [self = shared_from_this(), tenure,
+                     request](const sched::advice_answer& answer) {
+    self->Change(tenure, [&](sched::work_core& core, instant now) {
+      core.OnAdvice(now, request, answer);
+    });
+  };
+  if (!world_.orders.advise) {
+    LogEvent("advice_not_configured", {{"job", request.step.job}});
+    done({});
+    return;
+  }
+  world_.orders.advise(std::move(request), done);
+}
+
 void job_owner::SendLook(std::uint64_t tenure, sched::look_order order) {
   const instant sent = program_.now();
   const auto done = [self = shared_from_this(), tenure, sent,
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -12,6 +12,7 @@
 #include "programs/entry/outside.h"
 #include "programs/shell/lease_keeper.h"
 #include "sassafras/core/counter_table.h"
+#include "sassafras/sched/upkeep_core.h"
 #include "sassafras/sched/work_core.h"
 #include "sassafras/telemetry/metrics.h"
 
@@ -42,6 +43,9 @@
 
   void OnConfig(sched::service_config_ptr config);
 
+  /// Takes in a row that the operator wrote beside the configuration.
+  void OnOperatorRow(const table_row& row);
+
   /// Gives the ownership up and takes it no more.
   void Stop(std::function<void()> done);
 
@@ -88,6 +92,12 @@
   void TakeMinionRows(std::uint64_t tenure, const read_answer& answer);
   void PublishWaiting(std::uint64_t tenure);
   void DropExpired(std::uint64_t tenure);
+  void DecideUpkeep(std::uint64_t tenure);
+  void SendUpkeep(std::uint64_t tenure, const sched::upkeep_order& order);
+  void ListMachines(std::uint64_t tenure);
+  void WriteWaveStatus(std::uint64_t tenure,
+                       const sched::wave_status& status,
+                       std::uint64_t expected_version);
   void RepeatDecision();
 
   // Runs `change` on the core if `tenure` lasts, and decides soon after.
@@ -99,6 +109,8 @@
   void SendStart(std::uint64_t tenure, sched::start_order order);
   void SendStop(std::uint64_t tenure, sched::stop_order order);
   void SendLook(std::uint64_t tenure, sched::look_order order);
+  void SendPace(std::uint64_t tenure, sched::pace_order order);
+  void SendAdvice(std::uint64_t tenure, sched::advice_request request);
 
   const outside& world_;
   const table_port& table_;
@@ -110,6 +122,9 @@
 
   mutable std::mutex mutex_;
   std::unique_ptr<sched::work_core> core_;
+  std::unique_ptr<sched::upkeep_core> upkeep_;
+  std::map<std::int64_t, sched::upkeep_wave> waves_;
+  bool is_machine_list_out_ = false;
   sched::service_config_ptr config_;
   std::uint64_t tenure_ = 0;  // Counts gains; 0: never held.
   bool holds_ = false;
--- a/programs/entry/outside.h
+++ b/programs/entry/outside.h
@@ -2,6 +2,7 @@
 #define SASSAFRAS_PROGRAMS_ENTRY_OUTSIDE_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "sassafras/core/result.h"
@@ -10,6 +11,7 @@
 #include "sassafras/sched/caller.h"
 #include "sassafras/sched/minion_orders.h"
 #include "sassafras/sched/service_config.h"
+#include "sassafras/sched/upkeep_core.h"
 
 namespace sassafras {
 
@@ -19,12 +21,18 @@
 struct outside {
   table_port table;
   sched::order_port orders;
+  sched::machine_port machines;  ///< Empty hooks: no such service.
 
   std::string config_table;  ///< Prefix of the operator's table.
   std::string config_key;    ///< Row of the configuration.
   std::function<result<sched::service_config>(const std::string& text)>
       decode_config;
 
+  std::function<std::optional<sched::upkeep_wave>(const table_row& row)>
+      decode_wave;
+  std::function<table_write(const sched::wave_status& status)>
+      encode_wave_status;
+
   std::string minion_table;  ///< Prefix of the list of minions.
   std::function<result<sched::minion_report>(const table_row& row)>
       decode_minion;
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -29,6 +29,16 @@
   flag("one_rack", step.wants_one_rack);
   flag("persistent", step.is_persistent);
   flag("copies", step.may_run_copies);
+  flag("filler", step.is_filler);
+  if (!step.image.empty()) {
+    document["image"] = step.image;
+  }
+  if (step.tail_target > duration(0)) {
+    document["tail_target_us"] = step.tail_target.count();
+  }
+  if (step.may_miss > 0) {
+    document["may_miss"] = step.may_miss;
+  }
   if (step.max_per_minion > 0) {
     document["max_per_minion"] = step.max_per_minion;
   }
@@ -54,6 +64,11 @@
   step.wants_one_rack = document.value("one_rack", false);
   step.is_persistent = document.value("persistent", false);
   step.may_run_copies = document.value("copies", false);
+  step.is_filler = document.value("filler", false);
+  step.image = document.value("image", std::string());
+  step.tail_target =
+      duration(document.value("tail_target_us", std::int64_t{0}));
+  step.may_miss = document.value("may_miss", 0);
   step.max_per_minion = document.value("max_per_minion", 0);
   step.required_label = document.value("label", std::string());
   step.data_rack = document.value("data_rack", std::string());
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -70,6 +70,7 @@
                                  const std::vector<minion_view>& minions,
                                  std::vector<std::size_t> among,
                                  bool may_evict) {
+  const room needs = step.Reserved();
   std::map<std::size_t, minion_view> changed;
   const auto view = [&](std::size_t index) -> const minion_view& {
     const auto it = changed.find(index);
@@ -80,21 +81,21 @@
     std::size_t best = kNone;
     for (const std::size_t index : among) {
       const minion_view& minion = view(index);
-      if (!HasCount(step, minion) || !Fits(minion, step.needs, may_evict)) {
+      if (!HasCount(step, minion) || !Fits(minion, needs, may_evict)) {
         continue;
       }
-      if (best == kNone || IsBetter(minion, view(best), step.needs)) {
+      if (best == kNone || IsBetter(minion, view(best), needs)) {
         best = index;
       }
     }
     if (best == kNone) {
       return std::nullopt;
     }
-    if (!view(best).free.Holds(step.needs) && !changed.contains(best)) {
+    if (!view(best).free.Holds(needs) && !changed.contains(best)) {
       chosen.evict_cost += minions[best].evict_cost;
     }
     changed.try_emplace(best, minions[best]);
-    Take(changed.at(best), step.needs);
+    Take(changed.at(best), needs);
     chosen.places.push_back(best);
   }
   for (const auto& [index, minion] : changed) {
--- /dev/null
+++ b/src/sched/work_advice.cc
@@ -0,0 +1,133 @@
+#include <algorithm>
+#include <chrono>
+#include <tuple>
+
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// Minions named in one request: each adds to the time of the answer.
+constexpr std::size_t kMinionsPerRequest = 30;
+// A ticket must be valid for so long after the decision: the record is written
+// and the start sent meanwhile.
+constexpr duration kTicketSlack = std::chrono::milliseconds(400);
+
+step_key StepOf(const job_entry& job, const work_unit& unit) {
+  return {job.job.id, unit.occurrence, unit.step};
+}
+
+}  // namespace
+
+bool work_core::impl::NeedsAdvice(const job_entry& job) const {
+  const job_queue* queue =
+      config_ ? config_->FindQueueByName(job.job.queue) : nullptr;
+  return queue != nullptr && queue->advice.has_value();
+}
+
+// Minions with a ticket that will still be valid when the start arrives.
+std::vector<minion_view> work_core::impl::AdvisedViews(
+    instant now,
+    const job_entry& job,
+    const work_unit& unit,
+    const std::vector<minion_view>& views) const {
+  std::vector<minion_view> advised;
+  for (const minion_view& view : views) {
+    const auto it = minions_.find(view.id);
+    const minion_life life{view.id, it->second.report.born_unix_ms, ""};
+    if (!TicketOf(now + kTicketSlack, job, unit, life).empty()) {
+      advised.push_back(view);
+    }
+  }
+  return advised;
+}
+
+std::string work_core::impl::TicketOf(instant now,
+                                      const job_entry& job,
+                                      const work_unit& unit,
+                                      const minion_life& minion) const {
+  const auto step = advice_.find(StepOf(job, unit));
+  if (step == advice_.end()) {
+    return {};
+  }
+  const auto ticket = step->second.good.find(minion.id);
+  const bool is_valid = ticket != step->second.good.end() &&
+                        ticket->second.born_unix_ms == minion.born_unix_ms &&
+                        now < ticket->second.valid_until;
+  return is_valid ? ticket->second.text : std::string();
+}
+
+// One request at a time: the policy answers one caller's one after the other.
+// Minions known to be allowed come first, then those with the most room.
+void work_core::impl::AskAdvice(instant now,
+                                const job_entry& job,
+                                const work_unit& unit,
+                                const std::vector<minion_view>& views) {
+  if (is_advice_out_) {
+    return;
+  }
+  const step_key step = StepOf(job, unit);
+  const step_advice& known = advice_[step];
+  const room needs = job.job.spec.steps.at(unit.step).Reserved();
+  std::vector<const minion_view*> candidates;
+  for (const minion_view& view : views) {
+    const minion_life life{view.id, minions_.at(view.id).report.born_unix_ms,
+                           ""};
+    if (view.capacity.Holds(needs) && !known.bad.contains(view.id) &&
+        TicketOf(now + kTicketSlack, job, unit, life).empty()) {
+      candidates.push_back(&view);
+    }
+  }
+  if (candidates.empty()) {
+    return;
+  }
+  const auto rank = [&](const minion_view* view) {
+    return std::tuple(!known.good.contains(view->id), !view->free.Holds(needs),
+                      -view->free.accelerators);
+  };
+  std::stable_sort(candidates.begin(), candidates.end(),
+                   [&](const minion_view* left, const minion_view* right) {
+                     return rank(left) < rank(right);
+                   });
+  advice_request request{step, {}};
+  for (const minion_view* view : candidates) {
+    if (request.minions.size() < kMinionsPerRequest) {
+      request.minions.push_back(view->id);
+    }
+  }
+  counters_.Add("sched_advice_asked");
+  is_advice_out_ = true;
+  actions_.advice = std::move(request);
+}
+
+void work_core::impl::TakeAdvice(instant now,
+                                 const advice_request& asked,
+                                 const advice_answer& answer) {
+  is_advice_out_ = false;
+  should_place_ = true;
+  if (!answer.is_answered) {
+    counters_.Add("sched_advice_not_answered");
+    return;
+  }
+  step_advice& known = advice_[asked.step];
+  for (const std::string& id : asked.minions) {
+    const auto good = std::find_if(
+        answer.good.begin(), answer.good.end(),
+        [&](const advised_minion& minion) { return minion.id == id; });
+    const minion_entry* minion = FindMinion(id);
+    if (good == answer.good.end()) {
+      known.bad.insert(id);
+    } else if (minion != nullptr) {
+      known.good[id] = {good->ticket, minion->report.born_unix_ms,
+                        now + answer.validity};
+    }
+  }
+  Note("advice", asked.step.job,
+       std::to_string(asked.step.occurrence) + "." +
+           std::to_string(asked.step.step),
+       "",
+       std::to_string(answer.good.size()) + " of " +
+           std::to_string(asked.minions.size()) + " minions may run it");
+}
+
+}  // namespace sassafras::sched
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -103,7 +103,7 @@
       minion.report.born_unix_ms = at.born_unix_ms;
     }
     minion.last_grant = std::max(minion.last_grant, began_);
-    minion.used += entry.job.spec.steps.at(unit.step).needs;
+    minion.used += entry.job.spec.steps.at(unit.step).Reserved();
     const run_key key = KeyOf(entry, unit, member);
     minion.members.insert(key);
     places_[key] = at.minion;
@@ -259,9 +259,29 @@
   impl_->TakeCommit(now, answer);
 }
 
+void work_core::OnPaced(const pace_order& order, order_answer answer) {
+  impl_->TakePaceAnswer(order, answer.outcome);
+}
+
+void work_core::OnAdvice(instant now,
+                         const advice_request& asked,
+                         const advice_answer& answer) {
+  impl_->TakeAdvice(now, asked, answer);
+}
+
+void work_core::Cordon(const std::string& minion, bool is_cordoned) {
+  impl_->Cordon(minion, is_cordoned);
+}
+
+bool work_core::Clear(instant now, const std::string& minion, bool is_forced) {
+  return impl_->Clear(now, minion, is_forced);
+}
+
 work_actions work_core::Decide(instant now, std::int64_t wall_unix_ms) {
   impl_->CheckMinions(now);
+  impl_->LeaveDraining(now);
   impl_->PlaceAll(now, wall_unix_ms);
+  impl_->PaceAll(now);
   impl_->EmitStarts(now);
   impl_->EmitStops(now);
   impl_->EmitLooks(now);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -53,6 +53,20 @@
   void EmitStarts(instant now);
   void EmitStops(instant now);
 
+  // work_advice.cc
+  void TakeAdvice(instant now,
+                  const advice_request& asked,
+                  const advice_answer& answer);
+
+  // work_pacing.cc
+  void PaceAll(instant now);
+  void TakePaceAnswer(const pace_order& order, order_outcome outcome);
+
+  // work_leaving.cc
+  void LeaveDraining(instant now);
+  void Cordon(const std::string& minion, bool is_cordoned);
+  bool Clear(instant now, const std::string& minion, bool is_forced);
+
   // work_placing.cc
   void PlaceAll(instant now, std::int64_t wall_unix_ms);
 
@@ -163,6 +177,11 @@
                 job_entry& job,
                 work_unit& unit,
                 std::vector<minion_view>& views);
+  bool TryPlaceAmong(instant now,
+                     job_entry& job,
+                     work_unit& unit,
+                     std::vector<minion_view>& views);
+  bool MayStop(instant now, const job_entry& job, const work_unit& unit) const;
   void Reserve(instant now,
                job_entry& job,
                work_unit& unit,
@@ -173,6 +192,32 @@
   void Record(job_entry& job, work_unit& unit);
   double LossOf(instant now, const job_entry& job, const work_unit& unit) const;
 
+  // work_advice.cc
+  bool NeedsAdvice(const job_entry& job) const;
+  std::vector<minion_view> AdvisedViews(
+      instant now,
+      const job_entry& job,
+      const work_unit& unit,
+      const std::vector<minion_view>& views) const;
+  void AskAdvice(instant now,
+                 const job_entry& job,
+                 const work_unit& unit,
+                 const std::vector<minion_view>& views);
+  std::string TicketOf(instant now,
+                       const job_entry& job,
+                       const work_unit& unit,
+                       const minion_life& minion) const;
+
+  // work_pacing.cc
+  void PaceMinion(instant now, minion_entry& minion);
+  bool HasServingBesideFillers(const minion_entry& minion);
+
+  // work_leaving.cc
+  duration RemainingOf(instant now,
+                       const job_entry& job,
+                       const work_unit& unit) const;
+  void LeaveMinion(instant now, minion_entry& minion);
+
   void Note(std::string_view event,
             const std::string& job,
             const std::string& task,
@@ -192,6 +237,8 @@
   instant next_commit_;
   duration commit_backoff_{0};
   std::vector<sent_record> sent_records_;
+  std::map<step_key, step_advice> advice_;
+  bool is_advice_out_ = false;
   bool should_place_ = true;
   instant next_place_;
   work_actions actions_;
--- /dev/null
+++ b/src/sched/work_leaving.cc
@@ -0,0 +1,103 @@
+#include <algorithm>
+#include <chrono>
+
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// A run that would end so shortly before its minion leaves is not relied on.
+constexpr duration kLeaveMargin = std::chrono::milliseconds(300);
+constexpr double kWholePercent = 100;
+// Below it, whole percents say little about a run's speed.
+constexpr int kLeastPercent = 5;
+
+}  // namespace
+
+// Expected time to the end of the unit's run: from its slowest member's
+// progress, or from the submitter's estimate while there is none.
+duration work_core::impl::RemainingOf(instant now,
+                                      const job_entry& job,
+                                      const work_unit& unit) const {
+  const step_spec& step = job.job.spec.steps.at(unit.step);
+  duration remaining{0};
+  for (const unit_member& member : unit.members) {
+    if (member.phase != member_phase::kRunning) {
+      remaining = std::max(remaining, step.estimate);
+      continue;
+    }
+    const duration ran = now - member.confirmed_at;
+    if (member.percent < kLeastPercent) {
+      remaining =
+          std::max(remaining, std::max(step.estimate - ran, duration(0)));
+      continue;
+    }
+    const duration since = member.progressed_at - member.confirmed_at;
+    const double left = (kWholePercent - member.percent) / member.percent;
+    remaining =
+        std::max(remaining, std::chrono::duration_cast<duration>(since * left));
+  }
+  return remaining;
+}
+
+void work_core::impl::LeaveDraining(instant now) {
+  for (auto& [id, minion] : minions_) {
+    if (minion.report.is_draining && !minion.members.empty()) {
+      LeaveMinion(now, minion);
+    }
+  }
+}
+
+// Runs that cannot end before their minion leaves are stopped now, so that
+// they go on elsewhere sooner, from their checkpoint if they have one.
+void work_core::impl::LeaveMinion(instant now, minion_entry& minion) {
+  const std::set<run_key> members = minion.members;
+  for (const run_key& run : members) {
+    const member_ref ref = FindMember(run, minion.report.id);
+    if (ref.member == nullptr || ref.unit->phase == unit_phase::kClosing ||
+        ref.unit->is_done) {
+      continue;
+    }
+    const bool is_persistent =
+        ref.job->job.spec.steps.at(ref.unit->step).is_persistent;
+    const bool ends_in_time =
+        RemainingOf(now, *ref.job, *ref.unit) + kLeaveMargin <
+        minion.leaves_at - now;
+    if (is_persistent || !ends_in_time) {
+      counters_.Add("sched_evacuations");
+      CloseUnit(now, *ref.job, *ref.unit, "its minion is draining");
+    }
+  }
+}
+
+void work_core::impl::Cordon(const std::string& minion, bool is_cordoned) {
+  minion_entry* entry = FindMinion(minion);
+  if (entry != nullptr && entry->is_cordoned != is_cordoned) {
+    entry->is_cordoned = is_cordoned;
+    should_place_ = true;
+  }
+}
+
+bool work_core::impl::Clear(instant now,
+                            const std::string& minion,
+                            bool is_forced) {
+  minion_entry* entry = FindMinion(minion);
+  if (entry == nullptr || entry->members.empty()) {
+    return true;
+  }
+  const std::set<run_key> members = entry->members;
+  for (const run_key& run : members) {
+    const member_ref ref = FindMember(run, minion);
+    if (ref.member == nullptr || ref.unit->phase == unit_phase::kClosing) {
+      continue;
+    }
+    const bool is_persistent =
+        ref.job->job.spec.steps.at(ref.unit->step).is_persistent;
+    if ((is_forced || is_persistent) && MayStop(now, *ref.job, *ref.unit)) {
+      CloseUnit(now, *ref.job, *ref.unit, "its minion's upkeep is due");
+    }
+  }
+  return entry->members.empty();
+}
+
+}  // namespace sassafras::sched
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -9,6 +9,9 @@
 
 // An answer waits so long for an end; a third of the shortest lease in use.
 constexpr duration kLookWait = std::chrono::milliseconds(1500);
+// Where fillers run beside tasks that serve, their tail is looked at so often:
+// the minion's figure is one of half a second.
+constexpr duration kServingLookWait = std::chrono::milliseconds(400);
 // A minion that did not answer is asked again after it.
 constexpr duration kSilentInterval = std::chrono::milliseconds(300);
 // Ends that are not durable yet hold the next look back for so long.
@@ -63,6 +66,7 @@
       BeginLife(now, minion, report.born_unix_ms);
     }
     if (report.is_draining && !was_draining) {
+      minion.leaves_at = now + report.drain_remaining;
       Note("minion_draining", "", "", report.id, "");
     }
     for (const run_key& run : minion.members) {
@@ -211,6 +215,8 @@
       ref.member->life.address = minion.report.address;
       ConfirmMember(now, ref);
     }
+    ref.member->load = run.load;
+    ref.member->load_at = now;
     if (ref.member->percent != run.percent) {
       ref.member->percent = run.percent;
       ref.member->progressed_at = now;
@@ -330,10 +336,11 @@
       if (waits_for_store) {
         minion.next_look = now + kPendingInterval;
       }
-      EmitLook(
-          now, minion,
-          waits_for_store || minion.members.empty() ? duration(0) : kLookWait,
-          false);
+      EmitLook(now, minion,
+               waits_for_store || minion.members.empty() ? duration(0)
+               : HasServingBesideFillers(minion)         ? kServingLookWait
+                                                         : kLookWait,
+               false);
     }
     if (!minion.is_extra_look_out && now >= minion.next_quick_look &&
         AwaitsListing(minion)) {
@@ -372,6 +379,9 @@
   if (minion.report.is_draining) {
     return "draining";
   }
+  if (minion.is_cordoned) {
+    return "awaits upkeep";
+  }
   if (!minion.is_known) {
     return "not looked at yet";
   }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -23,6 +23,8 @@
 // Work after the last checkpoint, at most, when a step saves progress.
 constexpr duration kCheckpointLoss = std::chrono::seconds(1);
 constexpr std::size_t kMaxEvictionsPerMinion = 64;
+// A persistent task that has started up states this progress.
+constexpr int kAtWorkPercent = 100;
 
 }  // namespace
 
@@ -141,11 +143,11 @@
       const bool is_closing = unit.phase == unit_phase::kClosing;
       if (!is_closing &&
           (job.job.priority <= priority || unit.phase == unit_phase::kWaiting ||
-           unit.phase == unit_phase::kDone)) {
+           unit.phase == unit_phase::kDone || !MayStop(now, job, unit))) {
         continue;
       }
       const double loss = is_closing ? 0 : LossOf(now, job, unit);
-      const room& needs = job.job.spec.steps.at(unit.step).needs;
+      const room needs = job.job.spec.steps.at(unit.step).Reserved();
       for (const unit_member& member : unit.members) {
         const auto it = by_id.find(member.life.id);
         if (member.phase != member_phase::kOver && it != by_id.end()) {
@@ -157,6 +159,33 @@
   }
 }
 
+// Whether an order of ours may end the unit's run: of a persistent step only
+// so many tasks may be away at once.
+bool work_core::impl::MayStop(instant /*now*/,
+                              const job_entry& job,
+                              const work_unit& unit) const {
+  const step_spec& step = job.job.spec.steps.at(unit.step);
+  if (!step.is_persistent) {
+    return true;
+  }
+  int away = 0;
+  for (const work_unit& other : job.units) {
+    if (&other == &unit || other.step != unit.step ||
+        other.occurrence != unit.occurrence) {
+      continue;
+    }
+    const bool is_at_work =
+        other.phase == unit_phase::kActive &&
+        std::all_of(other.members.begin(), other.members.end(),
+                    [](const unit_member& member) {
+                      return member.phase == member_phase::kRunning &&
+                             member.percent == kAtWorkPercent;
+                    });
+    away += is_at_work ? 0 : other.width;
+  }
+  return away + unit.width <= step.may_miss;
+}
+
 void work_core::impl::PlaceAll(instant now, std::int64_t wall_unix_ms) {
   CheckClaims(now);
   if (!should_place_ && now < next_place_) {
@@ -188,6 +217,23 @@
                                job_entry& job,
                                work_unit& unit,
                                std::vector<minion_view>& views) {
+  if (NeedsAdvice(job)) {
+    std::vector<minion_view> advised = AdvisedViews(now, job, unit, views);
+    const bool is_placed = TryPlaceAmong(now, job, unit, advised);
+    if (is_placed) {
+      views = ViewsOf(now, ServiceOf(job));
+    } else {
+      AskAdvice(now, job, unit, views);
+    }
+    return is_placed;
+  }
+  return TryPlaceAmong(now, job, unit, views);
+}
+
+bool work_core::impl::TryPlaceAmong(instant now,
+                                    job_entry& job,
+                                    work_unit& unit,
+                                    std::vector<minion_view>& views) {
   const step_spec& step = job.job.spec.steps.at(unit.step);
   if (step.max_per_minion > 0) {
     CountSameStep(job, unit, views);
@@ -218,7 +264,7 @@
                               work_unit& unit,
                               const std::vector<std::size_t>& places,
                               std::vector<minion_view>& views) {
-  const room& needs = job.job.spec.steps.at(unit.step).needs;
+  const room needs = job.job.spec.steps.at(unit.step).Reserved();
   ++unit.run;
   unit.has_run_failed = false;
   unit.claimed_at = now;
@@ -267,10 +313,11 @@
           continue;
         }
         if (ref.unit->phase == unit_phase::kClosing) {
-          staying -= ref.job->job.spec.steps.at(ref.unit->step).needs;
+          staying -= ref.job->job.spec.steps.at(ref.unit->step).Reserved();
           continue;
         }
-        if (ref.job->job.priority <= job.job.priority) {
+        if (ref.job->job.priority <= job.job.priority ||
+            !MayStop(now, *ref.job, *ref.unit)) {
           continue;
         }
         const victim candidate{ref, LossOf(now, *ref.job, *ref.unit)};
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -94,7 +94,9 @@
   for (const unit_member& member : unit.members) {
     const minion_entry& minion = MinionOf(member.life.id);
     const bool is_same = minion.report.born_unix_ms == member.life.born_unix_ms;
-    if (!is_same || HealthOf(now, minion) != "usable") {
+    const bool lacks_ticket =
+        NeedsAdvice(job) && TicketOf(now, job, unit, member.life).empty();
+    if (!is_same || lacks_ticket || HealthOf(now, minion) != "usable") {
       counters_.Add("sched_start_dropped_minion_unfit");
       CloseUnit(now, job, unit, "a chosen minion became unfit");
       return;
@@ -120,7 +122,8 @@
   minion.last_grant = now;
   actions_.starts.push_back({member.life, KeyOf(job, unit, member),
                              job.job.spec.payload, unit.checkpoint,
-                             LeaseUntil(now, minion), fence_});
+                             LeaseUntil(now, minion), fence_,
+                             TicketOf(now, job, unit, member.life)});
 }
 
 void work_core::impl::TakeStartAnswer(instant now,
@@ -147,6 +150,11 @@
       ref.member->phase = member_phase::kUnsure;
       ref.member->next_send = now + kResendInterval;
       return;
+    case order_outcome::kNoTicket:
+      advice_[{order.run.task.job, order.run.task.occurrence,
+               order.run.task.step}]
+          .good.erase(order.minion.id);
+      break;
     case order_outcome::kNotSent:
     case order_outcome::kUnhealthy:
     case order_outcome::kNoRoom:
@@ -212,7 +220,7 @@
   const run_key key = KeyOf(job, unit, member);
   places_.erase(key);
   minion_entry& minion = MinionOf(member.life.id);
-  minion.used -= job.job.spec.steps.at(unit.step).needs;
+  minion.used -= job.job.spec.steps.at(unit.step).Reserved();
   minion.members.erase(key);
   CheckInvariant(minion.used.accelerators >= 0, "room_in_use_is_not_negative");
   should_place_ = true;
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -37,6 +37,10 @@
   bool is_stop_acknowledged = false;
   instant stop_acknowledged_at;
   int percent = 0;        ///< Progress that the minion stated last.
+  std::int64_t load = 0;  ///< Tail in ms, or cores; as stated last.
+  instant load_at;        ///< When that was stated.
+  int paced_to = 100;     ///< Share of its speed that it was given.
+  bool is_pace_out = false;
   instant progressed_at;  ///< When that changed last.
 };
 
@@ -95,6 +99,17 @@
   std::uint64_t change = 0;
 };
 
+/// What the policy of a queue has said about one step.
+struct step_advice {
+  struct ticket {
+    std::string text;
+    std::int64_t born_unix_ms = 0;
+    instant valid_until;
+  };
+  std::map<std::string, ticket> good;  ///< By minion.
+  std::set<std::string> bad;           ///< May never run the step.
+};
+
 struct minion_entry {
   minion_report report;
   bool is_listed = false;     ///< In the last list that was read.
@@ -114,7 +129,11 @@
   bool is_extra_look_out = false;
   instant next_look;
   instant next_quick_look;
-  instant avoid_until;                ///< Gets no tasks until then.
+  instant leaves_at;         ///< Earliest end, if it drains.
+  bool is_cordoned = false;  ///< Gets no tasks: its upkeep is due.
+  int filler_percent = 100;  ///< Share that its fillers should work at.
+  instant paced_at;          ///< When that changed last.
+  instant avoid_until;       ///< Gets no tasks until then.
   std::set<std::string> failed_jobs;  ///< Of failures since its last success.
   int penalties = 0;
 };
--- /dev/null
+++ b/tests/entry_settings_test.cc
@@ -0,0 +1,47 @@
+#include <catch2/catch.hpp>
+
+#include "programs/entry/entry_settings.h"
+
+namespace sassafras {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kWhole =
+    "id: front-1\nplace: lahore\ncallers: 10.0.0.1:80\n"
+    "readiness: 10.0.0.1:81\nstatus: 10.0.0.1:82\nstore: 10.0.0.9:80\n"
+    "advice: \"\"\nmachines: 10.0.0.8:80\n"
+    "bounds:\n  greatest_lease: 6000ms\n  stop_grace_seconds: 4.5\n";
+
+TEST_CASE("Settings of an entry process") {
+  const auto parsed = ParseEntrySettings("s.yaml", kWhole);
+  REQUIRE(parsed.faults.empty());
+  CHECK(parsed.settings.id.value == "front-1");
+  CHECK(parsed.settings.advice.empty());
+  CHECK(parsed.settings.machines == "10.0.0.8:80");
+  CHECK(parsed.settings.greatest_lease == 6s);
+  CHECK(parsed.settings.stop_grace == 4500ms);
+}
+
+TEST_CASE("Each fault of the settings is told with its line") {
+  const auto faults = [](const std::string& text) {
+    std::string all;
+    for (const config_fault& fault :
+         ParseEntrySettings("s.yaml", text).faults) {
+      all += ToString(fault) + "\n";
+    }
+    return all;
+  };
+  CHECK(faults(kWhole + "  odd: 1\n").find("s.yaml:12: bounds.odd") !=
+        std::string::npos);
+  CHECK(faults(kWhole + "more: 1\n").find("unknown key") != std::string::npos);
+  std::string wrong = kWhole;
+  wrong.replace(wrong.find("10.0.0.9:80"), 11, "store.local");
+  CHECK(faults(wrong).find("no address") != std::string::npos);
+  wrong = kWhole;
+  wrong.replace(wrong.find("4.5"), 3, "x.5");
+  CHECK(faults(wrong).find("stop_grace_seconds") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace sassafras
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -34,11 +34,12 @@
   instant clock_zero;      ///< Its clock reads 0 then.
   std::uint64_t fence = 0;
   std::optional<instant> lease;
-  instant lapsed_at;         ///< When its lease had last run out.
+  instant lapsed_at;  ///< When its lease had last run out.
   std::map<run_key, held_run> running;
   std::map<task_key, std::int64_t> closed;  ///< Highest run that ended here.
   std::vector<listed_end> ended;
   std::int64_t ends = 0;
+  std::map<run_key, int> paces;  ///< Share of its speed that a run was given.
 
   std::int64_t Clock(instant now) const {
     return (now - clock_zero).count() / 1000;
@@ -210,6 +211,36 @@
   int commits_held = 0;  ///< While above 0, commits are not answered.
   bool is_slow = false;  ///< Runs do not progress.
   std::vector<start_order> sent_starts;
+  int advice_calls = 0;
+  /// What a minion states as a run's load; empty: always 0.
+  std::function<std::int64_t(const fake_minion&, const run_key&)> load_of;
+
+  static bool IsAllowed(const std::string& minion) {
+    return (minion.back() - '0') % 2 == 0;
+  }
+
+  /// Gives the queues of priority 1 a policy.
+  void UsePolicy() {
+    auto config = std::make_shared<service_config>(*config_);
+    config->queues[1].advice = advice_terms{};
+    config_ = config;
+    core->OnConfig(config_);
+  }
+
+  /// Ends each run of `job` on `minion` as failed.
+  void FailRuns(const std::string& job) {
+    for (auto& [id, minion] : minions) {
+      std::vector<run_key> runs;
+      for (const auto& [run, held] : minion.running) {
+        if (run.task.job == job) {
+          runs.push_back(run);
+        }
+      }
+      for (const run_key& run : runs) {
+        End(minion, run, run_end::kFailed);
+      }
+    }
+  }
 
  private:
   struct pending {
@@ -267,6 +298,19 @@
     for (look_order& order : actions.looks) {
       SendLook(order, tenure);
     }
+    for (pace_order& order : actions.paces) {
+      SendOrder<pace_order>(
+          order, tenure,
+          [this](const pace_order& sent) {
+            minions.at(sent.minion.id).paces[sent.run] = sent.percent;
+            return order_outcome::kDone;
+          },
+          [](work_core& to, instant /*at*/, const pace_order& sent,
+             order_outcome how) { to.OnPaced(sent, {how}); });
+    }
+    if (actions.advice) {
+      Advise(*actions.advice, tenure);
+    }
     if (actions.commit) {
       Commit(*actions.commit, tenure);
     }
@@ -341,6 +385,12 @@
       return order_outcome::kOldRun;
     }
     CheckStart(minion, order);
+    if (config_->queues[1].advice &&
+        jobs.at(order.run.task.job).priority == 1 &&
+        (!IsAllowed(minion.report.id) ||
+         order.ticket != "ticket for " + minion.report.id)) {
+      violations.push_back("started without a ticket on " + minion.report.id);
+    }
     const step_spec& step =
         jobs.at(order.run.task.job).spec.steps.at(order.run.task.step);
     minion.running[order.run] = {order.payload, step.estimate, now, false, {}};
@@ -405,12 +455,43 @@
     answer.clock_ms = minion.Clock(now);
     answer.born_unix_ms = minion.report.born_unix_ms;
     for (const auto& [run, held] : minion.running) {
-      answer.running.push_back({run, "", 0});
+      const bool is_up = now - held.arrived > std::chrono::milliseconds(100);
+      answer.running.push_back({run, "", PercentOf(run, held, is_up),
+                                load_of ? load_of(minion, run) : 0});
     }
     answer.ended = minion.ended;
     return answer;
   }
 
+  // The policy allows the minions whose ids end in an even digit.
+  void Advise(const advice_request& asked, std::uint64_t tenure) {
+    ++advice_calls;
+    At(now + std::chrono::milliseconds(20), [this, asked, tenure] {
+      if (tenure != fence_) {
+        return;
+      }
+      advice_answer answer;
+      answer.is_answered = true;
+      answer.validity = std::chrono::seconds(2);
+      for (const std::string& id : asked.minions) {
+        if (IsAllowed(id)) {
+          answer.good.push_back({id, "ticket for " + id});
+        }
+      }
+      core->OnAdvice(now, asked, answer);
+    });
+  }
+
+  int PercentOf(const run_key& run,
+                const fake_minion::held_run& held,
+                bool is_up) const {
+    const step_spec& step = StepOf(run);
+    if (step.is_persistent) {
+      return is_up ? 100 : 0;
+    }
+    return static_cast<int>(100 * (step.estimate - held.left) / step.estimate);
+  }
+
   void Commit(const table_transaction& transaction, std::uint64_t tenure) {
     const bool is_unknown = Chance() < options_.unknown_commits;
     const bool takes_effect = !is_unknown || Chance() < 0.5;
@@ -445,17 +526,16 @@
   // From here on the end counts: no start may come after it.
   // It does not count if the minion's lease had run out between.
   void TakeNote(const fake_minion& minion, const listed_end& end) {
-    if (end.how != run_end::kDone ||
-        minion.lapsed_at > done_at_.at(end.run)) {
+    if (end.how != run_end::kDone || minion.lapsed_at > done_at_.at(end.run)) {
       return;
     }
     noted_done_.insert(end.run.task);
     const auto started = last_start_.find(end.run.task);
     if (started != last_start_.end() &&
         started->second > done_at_.at(end.run)) {
-      violations.push_back("started after an end that was noted later: " +
-                           end.run.task.job + "." +
-                           std::to_string(end.run.task.index));
+      violations.push_back(
+          "started after an end that was noted later: " + end.run.task.job +
+          "." + std::to_string(end.run.task.index));
     }
   }
 
@@ -501,7 +581,7 @@
           if (now - held.arrived > std::chrono::seconds(3)) {
             ends.emplace_back(run, run_end::kAlone);
           }
-        } else if (!is_slow) {
+        } else if (!is_slow && !step.is_persistent) {
           held.left -= kStep;
           if (held.left <= duration(0)) {
             const bool fails = minion.fails_all || Chance() < options_.failures;
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -285,6 +285,125 @@
   }
 }
 
+TEST_CASE("A persistent step runs until its job is cancelled") {
+  fake_fleet fleet({});
+  accepted_job job = OneStep("p", 1, 4, kSmall, 1s);
+  job.spec.steps[0].is_persistent = true;
+  job.spec.steps[0].may_miss = 1;
+  job.spec.steps[0].max_per_minion = 1;
+  fleet.Submit(job);
+  fleet.Run(2s);
+  REQUIRE(fleet.Running("p") == 4);
+
+  SECTION("failures beyond the attempts of its queue start it again") {
+    for (int i = 0; i < 5; ++i) {
+      fleet.FailRuns("p");
+      fleet.Run(2500ms);
+      CHECK(fleet.Running("p") == 4);
+    }
+    CHECK(fleet.StateOf("p") == job_state::kRunning);
+  }
+  SECTION("urgent work takes no more of its tasks than may be away") {
+    int least = 4;
+    fleet.Submit(Gang("urgent", 0, 8));
+    for (int i = 0; i < 200; ++i) {
+      fleet.Run(10ms);
+      least = std::min(least, fleet.Running("p"));
+    }
+    CHECK(least >= 3);
+  }
+  SECTION("it ends when it is cancelled") {
+    fleet.Cancel("p");
+    fleet.Run(1s);
+    CHECK(fleet.Running("p") == 0);
+    CHECK(fleet.StateOf("p") == job_state::kCancelled);
+  }
+}
+
+TEST_CASE("Fillers give way to a task that serves") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  accepted_job serving = OneStep("serve", 1, 1, kSmall, 60s);
+  serving.spec.steps[0].is_persistent = true;
+  serving.spec.steps[0].tail_target = 100ms;
+  accepted_job filling = OneStep("fill", 2, 1, {128'000, 1000, 0}, 60s);
+  filling.spec.steps[0].is_filler = true;
+  int disturbance = 2;  // Milliseconds of tail per percent of the filler.
+  fleet.load_of = [&](const fake_minion& minion, const run_key& run) {
+    if (run.task.job == "fill") {
+      return std::int64_t{0};
+    }
+    std::int64_t tail = 40;
+    for (const auto& [other, held] : minion.running) {
+      if (other.task.job == "fill") {
+        const auto pace = minion.paces.find(other);
+        tail += disturbance * (pace == minion.paces.end() ? 100 : pace->second);
+      }
+    }
+    return tail;
+  };
+  const auto pace = [&] {
+    const auto& paces = fleet.minions.begin()->second.paces;
+    return paces.empty() ? 100 : paces.begin()->second;
+  };
+  fleet.Submit(serving);
+  fleet.Submit(filling);
+
+  SECTION("it is slowed until the tail is below its target") {
+    fleet.Run(3500ms);
+    CHECK(40 + disturbance * pace() < 100);
+
+    SECTION("and gets its speed back when it disturbs no more") {
+      disturbance = 0;
+      fleet.Run(15s);
+      CHECK(pace() == 100);
+    }
+  }
+  SECTION("a filler takes no cores from the room of others") {
+    fleet.Run(1s);
+    CHECK(fleet.Running("serve") == 1);
+    CHECK(fleet.Running("fill") == 1);
+  }
+}
+
+TEST_CASE("A queue's policy names the minions of a step") {
+  fake_fleet fleet({});
+  fleet.UsePolicy();
+  fleet.Submit(OneStep("a", 1, 6, kWhole, 300ms));
+
+  SECTION("a start carries the minion's ticket") {
+    REQUIRE(fleet.RunUntilEnded(10s));
+    CHECK(fleet.StateOf("a") == job_state::kComplete);
+    CheckSound(fleet);
+  }
+  SECTION("valid tickets are used again, without asking for each task") {
+    REQUIRE(fleet.RunUntilEnded(10s));
+    CHECK(fleet.advice_calls <= 2);
+  }
+}
+
+TEST_CASE("A minion drains") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("long", 1, 1, kSmall, 10s));
+  fleet.Submit(OneStep("short", 1, 1, kSmall, 600ms));
+  fleet.Run(200ms);
+  std::string draining;
+  for (auto& [id, minion] : fleet.minions) {
+    if (!minion.running.empty()) {
+      draining = id;
+      minion.report.is_draining = true;
+      minion.report.drain_remaining = 2s;
+    }
+  }
+  fleet.Run(800ms);
+  CHECK(fleet.starts["short"] == 1);
+  CHECK(fleet.StateOf("short") == job_state::kComplete);
+  CHECK(fleet.starts["long"] == 2);
+  CHECK(fleet.minions.at(draining).running.empty());
+  CheckSound(fleet);
+}
+
 TEST_CASE("Whatever goes wrong, nothing runs twice and no room is exceeded") {
   const int seed = GENERATE(range(1, 25));
   fake_fleet::options options;
