Shorten the time without an owner: adaptive term, own former lease is free

Change: the lease lasts 0.8 s, longer while the store answers slowly (its row says for how long); a process takes the lease of an earlier start under its own id at once; the owner renews with a guarded commit, one call in place of two. Ruled out: store calls as the cause (4 ms each). Tests: lease_test, among it 300 random runs with growing and shrinking terms.

--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -19,7 +19,13 @@
   std::string key;           ///< Row of the lease, "lease/NAME".
   process_id holder;         ///< This process.
   std::string incarnation;   ///< Unique to this start of the process.
-  duration term{3'000'000};  ///< Length of the lease.
+  duration term{3'000'000};  ///< Length of the lease, at least.
+  /// Length while the store is slow: a multiple of its last answer's time, up
+  /// to this. 0: always `term`.
+  duration greatest_term{0};
+  /// The id names one VM with one process at a time, so that a lease of an
+  /// earlier start under it is free at once.
+  bool is_id_exclusive = false;
   duration margin{500'000};  ///< Before its end the holder stops acting.
 };
 
@@ -57,7 +63,7 @@
   /// that includes Guard() fails once another process has taken over. It
   /// rewrites the row, so that guarded transactions and renewals go one at a
   /// time, and each answer is taken in by OnGuarded() before the next.
-  std::optional<table_write> Guard() const;
+  std::optional<table_write> Guard(instant now);
 
   /// Takes in the answer to a transaction with Guard() that left at `sent`.
   /// One that took effect renews the lease.
@@ -86,6 +92,7 @@
     instant sent;
     std::uint64_t epoch = 0;
     std::uint64_t write_number = 0;
+    duration term{0};
     std::string value;
   };
 
@@ -94,6 +101,10 @@
   bool IsOwn(const row_state& state) const;
   bool IsStale(const table_row& row, const row_state& state, instant now) const;
   bool MayTake(instant sent, const table_row& row) const;
+  bool IsOfEarlierStart(const row_state& state) const;
+  duration CurrentTerm() const;
+  void NoteAnswer(instant sent, instant now);
+  void CapValidity(instant sent, duration term);
   void CheckClock(instant now);
   void Observe(instant now, const table_row& row, const row_state& state);
   void Settle(instant now, const table_row& row, const row_state& state);
@@ -116,6 +127,9 @@
   bool is_held_ = false;
   bool is_given_up_ = false;
   bool is_guard_unsettled_ = false;
+  std::string guard_value_;  // Of the last Guard().
+  duration guard_term_{0};
+  duration answer_time_{0};  // Of the store, falling slowly.
   std::vector<sent_write> unsettled_;
   std::string seen_holder_;
   std::uint64_t seen_version_ = 0;
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -15,8 +15,13 @@
 constexpr char kLeaseKey[] = "lease/jobs";
 // Time without an owner after a crash against calls to the store: each
 // contender reads the lease three times a term.
-constexpr duration kLeaseTerm = 1500ms;
-constexpr duration kLeaseMargin = 400ms;
+constexpr duration kLeaseTerm = 800ms;
+constexpr duration kLeaseMargin = 200ms;
+// While the store answers slowly. Bounds how long a crash of the owner can go
+// unnoticed then.
+constexpr duration kGreatestLeaseTerm = 4s;
+// The owner renews this often where no record is written meanwhile.
+constexpr duration kRenewInterval = 200ms;
 // Events that come together are decided on together.
 constexpr duration kDecisionDelay = 2ms;
 // The core looks at time-outs and due times so often.
@@ -82,6 +87,8 @@
   options.holder = settings_.id;
   options.incarnation = MakeIncarnation();
   options.term = kLeaseTerm;
+  options.greatest_term = kGreatestLeaseTerm;
+  options.is_id_exclusive = true;
   options.margin = kLeaseMargin;
   const std::weak_ptr<job_owner> weak = weak_from_this();
   lease_keeper::hooks hooks;
@@ -103,6 +110,7 @@
 
 void job_owner::Tick() {
   lease_->Tick();
+  Renew();
   program_.after(lease_keeper::kTickInterval, [weak = weak_from_this()] {
     if (const auto alive = weak.lock()) {
       alive->Tick();
@@ -110,6 +118,24 @@
   });
 }
 
+// A guarded commit renews the lease in one call, where reading and renewing
+// takes two.
+void job_owner::Renew() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!holds_ || is_renewal_out_ ||
+        program_.now() < last_commit_ + kRenewInterval) {
+      return;
+    }
+    is_renewal_out_ = true;
+    last_commit_ = program_.now();
+  }
+  lease_->Commit({}, [self = shared_from_this()](const commit_answer&) {
+    const std::lock_guard lock(self->mutex_);
+    self->is_renewal_out_ = false;
+  });
+}
+
 void job_owner::OnConfig(sched::service_config_ptr config) {
   std::uint64_t tenure = 0;
   {
@@ -675,6 +701,10 @@
   }
   if (actions.commit) {
     const instant sent = program_.now();
+    {
+      const std::lock_guard lock(mutex_);
+      last_commit_ = sent;
+    }
     lease_->Commit(
         std::move(*actions.commit),
         [self = shared_from_this(), tenure, sent](const commit_answer& answer) {
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -76,6 +76,7 @@
             hooks program);
 
   void Tick();
+  void Renew();
   void OnGained(std::uint64_t epoch);
   void OnLost();
   void Load(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows);
@@ -129,6 +130,8 @@
   std::uint64_t tenure_ = 0;  // Counts gains; 0: never held.
   bool holds_ = false;
   bool is_decision_due_ = false;
+  bool is_renewal_out_ = false;
+  instant last_commit_;
   std::uint64_t waiting_version_ = 0;
   std::string waiting_written_;
 };
--- a/programs/shell/lease_keeper.cc
+++ b/programs/shell/lease_keeper.cc
@@ -135,7 +135,7 @@
   table_transaction transaction = work.transaction;
   {
     const std::lock_guard lock(mutex_);
-    if (auto guard = lease_.Guard()) {
+    if (auto guard = lease_.Guard(sent)) {
       transaction.push_back(std::move(*guard));
     }
   }
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -12,6 +12,10 @@
 constexpr int kRowFormat = 1;
 constexpr int kRenewalsPerTerm = 3;
 constexpr std::size_t kMaxUnsettled = 16;
+// A renewal is up to two calls, and one more may be under way before it.
+constexpr int kAnswersPerTerm = 6;
+// Share of the last answer time that counts on when the store is fast again.
+constexpr double kAnswerTimeDecay = 0.8;
 
 }  // namespace
 
@@ -35,6 +39,7 @@
                                         instant now,
                                         const table_row& row) {
   CheckClock(now);
+  NoteAnswer(sent, now);
   next_read_ = now + options_.term / kRenewalsPerTerm;
   if (is_given_up_) {
     return std::nullopt;
@@ -66,6 +71,7 @@
 
 void lease::OnCommit(instant sent, instant now, const commit_answer& answer) {
   CheckClock(now);
+  NoteAnswer(sent, now);
   const auto it =
       std::find_if(unsettled_.begin(), unsettled_.end(),
                    [&](const sent_write& write) { return write.sent == sent; });
@@ -90,6 +96,7 @@
 
 void lease::OnGuarded(instant sent, instant now, const commit_answer& answer) {
   CheckClock(now);
+  NoteAnswer(sent, now);
   if (!is_held_) {
     return;
   }
@@ -102,8 +109,11 @@
     const table_row* row = FindRow(answer.rows, options_.key);
     if (row != nullptr) {
       row_version_ = row->version;
+      row_value_ = guard_value_;
+      seen_ = Decode(row_value_);
       seen_version_ = row->version;
-      valid_until_ = std::max(valid_until_, sent + options_.term);
+      valid_until_ = sent + guard_term_;
+      next_read_ = now + options_.term / kRenewalsPerTerm;
     }
     return;
   }
@@ -118,11 +128,16 @@
 }
 
 // A guard of models/placement.pml.
-std::optional<table_write> lease::Guard() const {
+std::optional<table_write> lease::Guard(instant now) {
   if (!is_held_) {
     return std::nullopt;
   }
-  return table_write{options_.key, row_version_, row_value_};
+  row_state state = Decode(row_value_);
+  state.term = CurrentTerm();
+  guard_term_ = state.term;
+  guard_value_ = Encode(state, row_value_);
+  CapValidity(now, guard_term_);
+  return table_write{options_.key, row_version_, guard_value_};
 }
 
 std::optional<table_write> lease::Release(instant now) {
@@ -196,12 +211,36 @@
   if (row.version != seen_version_) {
     return false;
   }
-  if (row.version == 0 || seen_.is_released) {
+  if (row.version == 0 || seen_.is_released || IsOfEarlierStart(seen_)) {
     return true;
   }
   return sent - seen_since_ >= std::max(options_.term, seen_.term);
 }
 
+// A guard of models/placement.pml, by another argument: the process that held
+// the lease has ended, because this one runs in its place.
+bool lease::IsOfEarlierStart(const row_state& state) const {
+  return options_.is_id_exclusive && state.holder == options_.holder.value &&
+         state.incarnation != options_.incarnation;
+}
+
+duration lease::CurrentTerm() const {
+  return std::clamp(answer_time_ * kAnswersPerTerm, options_.term,
+                    std::max(options_.term, options_.greatest_term));
+}
+
+void lease::NoteAnswer(instant sent, instant now) {
+  const auto decayed =
+      std::chrono::duration_cast<duration>(answer_time_ * kAnswerTimeDecay);
+  answer_time_ = std::max(now - sent, decayed);
+}
+
+// Others that see a write with this term may take over that long after it,
+// whether its answer comes or not.
+void lease::CapValidity(instant sent, duration term) {
+  valid_until_ = std::min(valid_until_, sent + term);
+}
+
 void lease::CheckClock(instant now) {
   CheckInvariant(now >= last_now_, "monotonic_clock_never_goes_back");
   last_now_ = std::max(last_now_, now);
@@ -253,7 +292,7 @@
   epoch_ = write.epoch;
   row_version_ = version;
   row_value_ = write.value;
-  valid_until_ = std::max(valid_until_, write.sent + options_.term);
+  valid_until_ = write.sent + write.term;
   seen_ = Decode(write.value);
   seen_version_ = version;
   seen_holder_ = options_.holder.value;
@@ -281,11 +320,13 @@
   state.incarnation = options_.incarnation;
   state.epoch = epoch;
   state.write_number = write_number + 1;
-  state.term = options_.term;
+  state.term = CurrentTerm();
+  CapValidity(sent, state.term);
   if (unsettled_.size() >= kMaxUnsettled) {
     unsettled_.erase(unsettled_.begin());
   }
-  unsettled_.push_back({sent, epoch, state.write_number, Encode(state, base)});
+  unsettled_.push_back(
+      {sent, epoch, state.write_number, state.term, Encode(state, base)});
   return {options_.key, expected_version, unsettled_.back().value};
 }
 
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -136,6 +136,7 @@
   minion_entry& MinionOf(const std::string& id);
   minion_entry* FindMinion(const std::string& id);
   void BeginLife(instant now, minion_entry& minion, std::int64_t born);
+  static std::string TimesOf(instant now, const member_ref& ref);
   void TakeEnds(instant now, minion_entry& minion, const look_answer& answer);
   void TakeRunning(instant now,
                    instant sent,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -175,6 +175,20 @@
   Acknowledge(*minion);
 }
 
+// How long a run has taken beside its submitter's estimate, for the log.
+std::string work_core::impl::TimesOf(instant now, const member_ref& ref) {
+  if (ref.member == nullptr) {
+    return {};
+  }
+  const auto milliseconds = [](duration value) {
+    return std::to_string(value.count() / 1000);
+  };
+  return " after_ms " + milliseconds(now - ref.member->confirmed_at) +
+         " estimate_ms " +
+         milliseconds(
+             ref.job->job.spec.steps.at(ref.unit->step).estimate);
+}
+
 void work_core::impl::TakeEnds(instant now,
                                minion_entry& minion,
                                const look_answer& answer) {
@@ -183,9 +197,9 @@
       continue;
     }
     minion.processed = end.number;
-    Note("run_ended", end.run.task.job, FormatRun(end.run), minion.report.id,
-         std::string(GetName(end.how)));
     const member_ref ref = FindMember(end.run, minion.report.id);
+    Note("run_ended", end.run.task.job, FormatRun(end.run), minion.report.id,
+         std::string(GetName(end.how)) + TimesOf(now, ref));
     if (ref.member != nullptr) {
       TakeEnd(now, minion, ref, end);
     } else {
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -27,11 +27,14 @@
 // One contender against a table that answers at once.
 struct contender {
   contender(const std::string& holder, const std::string& incarnation)
-      : object(Options(holder, incarnation), counters) {}
+      : contender(Options(holder, incarnation)) {}
+
+  explicit contender(lease_options options)
+      : object(std::move(options), counters) {}
 
   // Reads `row` and commits what is due. Returns whether it may act then.
   bool Step(fake_table& table, instant now, const table_row& row) {
-    if (const auto write = object.OnRow(now, now, row)) {
+    if (const auto write = object.OnRow(now - answer_time, now, row)) {
       object.OnCommit(now, now, table.Commit({*write}));
     }
     return object.MayAct(now);
@@ -41,6 +44,7 @@
     return Step(table, now, table.Read(kKey));
   }
 
+  duration answer_time{0};  ///< Of reads.
   counter_table counters;
   lease object;
 };
@@ -66,7 +70,7 @@
     CHECK(second.object.Epoch() == 2);
     SECTION("the holder that slept through it may not act when it wakes") {
       CHECK_FALSE(first.object.MayAct(At(4'000)));
-      const auto guard = first.object.Guard();
+      const auto guard = first.object.Guard(At(0));
       REQUIRE(guard);
       CHECK(table.Commit({*guard}).reason == error_kind::kConflict);
       CHECK_FALSE(first.Step(table, At(4'100)));
@@ -105,6 +109,53 @@
     CHECK(again.object.Epoch() == 2);
     CHECK_FALSE(first.Step(table, At(3'200)));
   }
+  SECTION("unless its id names one process at a time") {
+    lease_options options = Options("s1", "c");
+    options.is_id_exclusive = true;
+    contender again(options);
+    CHECK(again.Step(table, At(200)));
+    CHECK(again.object.Epoch() == 2);
+    CHECK_FALSE(first.Step(table, At(300)));
+    SECTION("which says nothing about other processes") {
+      lease_options other = Options("s2", "d");
+      other.is_id_exclusive = true;
+      contender third(other);
+      CHECK_FALSE(third.Step(table, At(400)));
+      CHECK_FALSE(third.Step(table, At(500)));
+    }
+  }
+}
+
+TEST_CASE("A slow store makes the lease longer") {
+  fake_table table;
+  lease_options options = Options("s1", "a");
+  options.term = milliseconds(900);
+  options.margin = milliseconds(200);
+  options.greatest_term = seconds(5);
+  contender first(options);
+  REQUIRE(first.Step(table, At(0)));
+  CHECK_FALSE(first.object.MayAct(At(700)));
+  first.answer_time = milliseconds(500);
+  REQUIRE(first.Step(table, At(600)));
+  CHECK(first.object.MayAct(At(3'300)));
+
+  SECTION("others wait for as long as the row says") {
+    lease_options other = options;
+    other.holder = {"s2"};
+    contender second(other);
+    CHECK_FALSE(second.Step(table, At(700)));
+    CHECK_FALSE(second.Step(table, At(3'500)));
+    CHECK(second.Step(table, At(3'700)));
+  }
+  SECTION("a shorter renewal cuts it at once, answered or not") {
+    first.answer_time = duration(0);
+    for (int i = 1; i < 20; ++i) {
+      table.loses_answer = i == 19;
+      first.Step(table, At(600 + i * 100));
+    }
+    CHECK(first.object.MayAct(At(2'600)));
+    CHECK_FALSE(first.object.MayAct(At(3'200)));
+  }
 }
 
 TEST_CASE("What the store leaves open is settled by the next read") {
@@ -122,7 +173,7 @@
   SECTION("a lost write of a guarded transaction does not block the holder") {
     REQUIRE(first.Step(table, At(0)));
     table.loses_answer = true;
-    const auto guard = first.object.Guard();
+    const auto guard = first.object.Guard(At(0));
     first.object.OnGuarded(At(500), At(500), table.Commit({*guard}));
     table.loses_answer = false;
     CHECK(first.object.WantsRead(At(500)));
@@ -185,7 +236,7 @@
 
 // Contenders whose reads lag, whose answers get lost, and which are paused at
 // random: at no moment may two act. Returns how often the holder changed.
-std::uint64_t ContendAtRandom(std::uint64_t seed) {
+std::uint64_t ContendAtRandom(std::uint64_t seed, duration greatest_term) {
   random_engine random(seed);
   const auto choose = [&](std::uint64_t count) { return random() % count; };
   fake_table table;
@@ -193,7 +244,9 @@
   std::deque<contender> contenders;
   std::vector<std::int64_t> paused_until(3, 0);
   for (int i = 0; i < 3; ++i) {
-    contenders.emplace_back("s" + std::to_string(i), "a");
+    lease_options options = Options("s" + std::to_string(i), "a");
+    options.greatest_term = greatest_term;
+    contenders.emplace_back(options);
   }
   for (std::int64_t ms = 0; ms < 120'000; ms += 250) {
     const std::size_t who = choose(3);
@@ -205,6 +258,10 @@
     table.is_down = fault == 2;
     const std::size_t shown =
         fault == 3 ? choose(history.size()) : history.size() - 1;
+    contenders[who].answer_time =
+        greatest_term > kTerm && ms > 0
+            ? duration(milliseconds(choose(std::min<std::uint64_t>(1'500, ms))))
+            : duration(0);
     if (ms >= paused_until[who]) {
       contenders[who].Step(table, At(ms), history[shown]);
     }
@@ -226,7 +283,8 @@
 TEST_CASE("Two processes never hold a lease at once under random faults") {
   std::uint64_t changes = 0;
   for (std::uint64_t seed = 1; seed <= 300; ++seed) {
-    changes += ContendAtRandom(seed);
+    changes += ContendAtRandom(seed, duration(0));
+    changes += ContendAtRandom(seed, seconds(9));
   }
   CHECK(changes > 300);
 }
