--- a/include/sassafras/sched/placement.h
+++ b/include/sassafras/sched/placement.h
@@ -19,6 +19,7 @@
   room capacity;
   room evictable;  ///< Held by runs that may be stopped for this request.
   double evict_cost = 0;       ///< Work lost if all of `evictable` is stopped.
+  int rack_rank = 0;           ///< Place of its rack in a fixed order.
   int same_step = 0;           ///< Tasks of the same step that it runs already.
   bool has_failed_it = false;  ///< A run of this request failed here.
 };
@@ -27,6 +28,7 @@
 struct placement_limits {
   bool may_leave_rack = false;  ///< Give up one rack or the data's rack.
   bool may_evict = false;       ///< Count `evictable` as free.
+  bool is_urgent = false;  ///< Fills racks from the other end of their order.
 };
 
 /// Chooses a minion for each of `count` tasks of `step`: all or none.
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -14,6 +14,7 @@
 struct choice {
   std::vector<std::size_t> places;
   double evict_cost = 0;
+  int rank = 0;                        // Of the rack, if it is one.
   std::int64_t accelerators_left = 0;  // Free ones on the minions touched.
 };
 
@@ -29,12 +30,14 @@
   return step.max_per_minion == 0 || minion.same_step < step.max_per_minion;
 }
 
-// Minions on which the request has not failed come first, then those that need
+// Urgent work and other work fill the racks from opposite ends, so that they
+// meet as late as possible. Minions on which the request has not failed come first, then those that need
 // no eviction, then the fullest that fits: whole minions stay free for large
 // tasks.
 bool IsBetter(const minion_view& left,
               const minion_view& right,
-              const room& needs) {
+              const room& needs,
+              bool is_urgent) {
   if (left.has_failed_it != right.has_failed_it) {
     return right.has_failed_it;
   }
@@ -46,6 +49,9 @@
   if (left_evicts && left.evict_cost != right.evict_cost) {
     return left.evict_cost < right.evict_cost;
   }
+  if (left.rack_rank != right.rack_rank) {
+    return (left.rack_rank < right.rack_rank) != is_urgent;
+  }
   if (left.free.accelerators != right.free.accelerators) {
     return left.free.accelerators < right.free.accelerators;
   }
@@ -69,7 +75,8 @@
                                  int count,
                                  const std::vector<minion_view>& minions,
                                  std::vector<std::size_t> among,
-                                 bool may_evict) {
+                                 placement_limits limits) {
+  const bool may_evict = limits.may_evict;
   const room needs = step.Reserved();
   std::map<std::size_t, minion_view> changed;
   const auto view = [&](std::size_t index) -> const minion_view& {
@@ -84,7 +91,8 @@
       if (!HasCount(step, minion) || !Fits(minion, needs, may_evict)) {
         continue;
       }
-      if (best == kNone || IsBetter(minion, view(best), needs)) {
+      if (best == kNone ||
+          IsBetter(minion, view(best), needs, limits.is_urgent)) {
         best = index;
       }
     }
@@ -119,6 +127,9 @@
   if (left.evict_cost != right.evict_cost) {
     return left.evict_cost < right.evict_cost;
   }
+  if (left.rank != right.rank) {
+    return left.rank < right.rank;
+  }
   return left.accelerators_left < right.accelerators_left;
 }
 
@@ -126,13 +137,19 @@
                                      int count,
                                      const std::vector<minion_view>& minions,
                                      const std::vector<std::size_t>& among,
-                                     bool may_evict) {
+                                     placement_limits limits) {
   std::optional<choice> best;
   for (const auto& [rack, members] : GroupByRack(minions, among)) {
     if (!step.data_rack.empty() && rack != step.data_rack) {
       continue;
     }
-    auto found = PlaceAmong(step, count, minions, members, may_evict);
+    auto found = PlaceAmong(step, count, minions, members, limits);
+    if (found) {
+      found->rank = minions[members.front()].rack_rank;
+      if (limits.is_urgent) {
+        found->rank = -found->rank;
+      }
+    }
     if (found && (!best || IsCheaper(*found, *best))) {
       best = std::move(found);
     }
@@ -162,7 +179,7 @@
   const std::vector<std::size_t> among = AllowedMinions(step, minions);
   const bool is_bound = step.wants_one_rack || !step.data_rack.empty();
   if (is_bound) {
-    auto found = PlaceInOneRack(step, count, minions, among, limits.may_evict);
+    auto found = PlaceInOneRack(step, count, minions, among, limits);
     if (found) {
       return std::move(found->places);
     }
@@ -170,7 +187,7 @@
       return std::nullopt;
     }
   }
-  auto found = PlaceAmong(step, count, minions, among, limits.may_evict);
+  auto found = PlaceAmong(step, count, minions, among, limits);
   if (!found) {
     return std::nullopt;
   }
@@ -187,9 +204,9 @@
   }
   const std::vector<std::size_t> among = AllowedMinions(step, minions);
   if (in_one_rack) {
-    return PlaceInOneRack(step, count, minions, among, false).has_value();
+    return PlaceInOneRack(step, count, minions, among, {}).has_value();
   }
-  return PlaceAmong(step, count, minions, among, false).has_value();
+  return PlaceAmong(step, count, minions, among, {}).has_value();
 }
 
 }  // namespace sassafras::sched
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -185,8 +185,7 @@
   };
   return " after_ms " + milliseconds(now - ref.member->confirmed_at) +
          " estimate_ms " +
-         milliseconds(
-             ref.job->job.spec.steps.at(ref.unit->step).estimate);
+         milliseconds(ref.job->job.spec.steps.at(ref.unit->step).estimate);
 }
 
 void work_core::impl::TakeEnds(instant now,
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -86,6 +86,17 @@
     view.free = minion.report.capacity - minion.used;
     views.push_back(std::move(view));
   }
+  std::map<std::string, int> ranks;
+  for (const minion_view& view : views) {
+    ranks.emplace(view.rack, 0);
+  }
+  int rank = 0;
+  for (auto& [rack, place] : ranks) {
+    place = rank++;
+  }
+  for (minion_view& view : views) {
+    view.rack_rank = ranks[view.rack];
+  }
   return views;
 }
 
@@ -242,6 +253,7 @@
     view.has_failed_it = unit.failed_on.contains(view.id);
   }
   placement_limits limits;
+  limits.is_urgent = job.job.priority == 0;
   const auto patience =
       std::chrono::duration_cast<duration>(step.estimate * kRackPatience);
   limits.may_leave_rack = now - unit.waiting_since > patience ||
--- a/tests/sched_placement_test.cc
+++ b/tests/sched_placement_test.cc
@@ -67,6 +67,24 @@
   }
 }
 
+TEST_CASE("Urgent and other work fill the racks from opposite ends") {
+  std::vector<minion_view> views = Fleet(3, 2);
+  for (std::size_t i = 0; i < views.size(); ++i) {
+    views[i].rack_rank = static_cast<int>(i / 2);
+  }
+  step_spec step = Step(8);
+  const auto rack_of = [&](bool is_urgent) {
+    const auto places = PlaceTasks(step, 2, views, {false, false, is_urgent});
+    REQUIRE(places);
+    return views[places->front()].rack;
+  };
+  CHECK(rack_of(false) == "r0");
+  CHECK(rack_of(true) == "r2");
+  step.wants_one_rack = true;
+  CHECK(rack_of(false) == "r0");
+  CHECK(rack_of(true) == "r2");
+}
+
 TEST_CASE("Labels, the data's rack and the limit per minion are kept to") {
   std::vector<minion_view> views = Fleet(2, 2);
   step_spec step = Step(1);
@@ -106,7 +124,8 @@
   REQUIRE(one);
   CHECK(one->front() == 1);
 
-  SECTION("a free minion goes before any eviction") {
+  SECTION("a free minion goes before any eviction, whatever its rack") {
+    views[0].rack_rank = 1;
     views[0].free.accelerators = 8;
     const auto free = PlaceTasks(Step(8), 1, views, {false, true});
     REQUIRE(free);
