Move runs that stand still; keep tasks off minions whose runs crawl

Change: looks give a run's progress; a run without any for 1.8 s and a fifth of its estimate is stopped and placed elsewhere; a minion whose runs go at under a third of their estimates gets no new ones for a while. Conclusion: kept for runs that would never end.

--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -42,8 +42,8 @@
   NoteAnswer(sent, now);
   // Contenders read once a term, at different moments: the first of them to
   // see that the row stands still takes over.
-  next_read_ = now + (is_held_ ? options_.term / kRenewalsPerTerm
-                               : options_.term);
+  next_read_ =
+      now + (is_held_ ? options_.term / kRenewalsPerTerm : options_.term);
   if (is_given_up_) {
     return std::nullopt;
   }
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -31,9 +31,9 @@
 }
 
 // Urgent work and other work fill the racks from opposite ends, so that they
-// meet as late as possible. Minions on which the request has not failed come first, then those that need
-// no eviction, then the fullest that fits: whole minions stay free for large
-// tasks.
+// meet as late as possible. Minions on which the request has not failed come
+// first, then those that need no eviction, then the fullest that fits: whole
+// minions stay free for large tasks.
 bool IsBetter(const minion_view& left,
               const minion_view& right,
               const room& needs,
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -279,6 +279,7 @@
 
 work_actions work_core::Decide(instant now, std::int64_t wall_unix_ms) {
   impl_->CheckMinions(now);
+  impl_->CheckProgress(now);
   impl_->LeaveDraining(now);
   impl_->PlaceAll(now, wall_unix_ms);
   impl_->PaceAll(now);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -62,6 +62,9 @@
   void PaceAll(instant now);
   void TakePaceAnswer(const pace_order& order, order_outcome outcome);
 
+  // work_progress.cc
+  void CheckProgress(instant now);
+
   // work_leaving.cc
   void LeaveDraining(instant now);
   void Cordon(const std::string& minion, bool is_cordoned);
@@ -213,6 +216,10 @@
   void PaceMinion(instant now, minion_entry& minion);
   bool HasServingBesideFillers(const minion_entry& minion);
 
+  // work_progress.cc
+  void MeasureSpeed(instant now, minion_entry& minion, const member_ref& ref);
+  static bool StandsStill(const member_ref& ref);
+
   // work_leaving.cc
   duration RemainingOf(instant now,
                        const job_entry& job,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -109,6 +109,7 @@
   minion.next_look = now;
   minion.failed_jobs.clear();
   minion.penalties = 0;
+  minion.speed = 1;
   minion.avoid_until = now;
   const std::set<run_key> members = minion.members;
   for (const run_key& run : members) {
@@ -234,6 +235,7 @@
       ref.member->percent = run.percent;
       ref.member->progressed_at = now;
     }
+    MeasureSpeed(now, minion, ref);
     if (run.checkpoint > ref.unit->checkpoint) {
       ref.unit->checkpoint = run.checkpoint;
     }
--- /dev/null
+++ b/src/sched/work_progress.cc
@@ -0,0 +1,94 @@
+#include <algorithm>
+#include <chrono>
+
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+namespace {
+
+// Progress comes in whole percents with each look: over less time the figure
+// says little.
+constexpr duration kMeasureInterval = std::chrono::milliseconds(700);
+// Weight of one measurement in a minion's speed.
+constexpr double kMeasureWeight = 0.4;
+// Estimates are off by half and sound minions differ by a fifth: below it, the
+// minion is slow.
+constexpr double kSlowSpeed = 0.33;
+// A run without any progress for so long, and for this share of its estimate,
+// stands still.
+constexpr duration kStallTime = std::chrono::milliseconds(1800);
+constexpr double kStallShare = 0.2;
+constexpr int kWholePercent = 100;
+
+}  // namespace
+
+// Compares the progress since the last measurement with the estimate.
+void work_core::impl::MeasureSpeed(instant now,
+                                   minion_entry& minion,
+                                   const member_ref& ref) {
+  unit_member& member = *ref.member;
+  const step_spec& step = ref.job->job.spec.steps.at(ref.unit->step);
+  const bool is_measured = member.phase == member_phase::kRunning &&
+                           !step.is_persistent && !step.is_filler &&
+                           member.percent < kWholePercent;
+  if (!is_measured || member.rate_at == instant() || member.percent == 0) {
+    member.rate_at = now;
+    member.rate_percent = member.percent;
+    return;
+  }
+  const duration passed = now - member.rate_at;
+  if (passed < kMeasureInterval) {
+    return;
+  }
+  const double done = (member.percent - member.rate_percent) /
+                      static_cast<double>(kWholePercent);
+  const double speed = done * static_cast<double>(step.estimate.count()) /
+                       static_cast<double>(passed.count());
+  minion.speed = minion.speed * (1 - kMeasureWeight) +
+                 std::min(speed, 2.0) * kMeasureWeight;
+  member.rate_at = now;
+  member.rate_percent = member.percent;
+}
+
+// Whether the member's run makes no progress. A run that crawls is left: moving
+// it throws its work away, and cost more than it gained.
+bool work_core::impl::StandsStill(const member_ref& ref) {
+  const unit_member& member = *ref.member;
+  const step_spec& step = ref.job->job.spec.steps.at(ref.unit->step);
+  if (member.phase != member_phase::kRunning || step.is_persistent ||
+      step.is_filler || member.percent >= kWholePercent) {
+    return false;
+  }
+  const duration still = member.load_at - member.progressed_at;
+  const auto share =
+      std::chrono::duration_cast<duration>(step.estimate * kStallShare);
+  return still > std::max(kStallTime, share);
+}
+
+// Keeps new tasks off slow minions, and moves runs off those on which they
+// stand still.
+void work_core::impl::CheckProgress(instant now) {
+  for (auto& [id, minion] : minions_) {
+    if (!minion.is_answering || minion.members.empty()) {
+      continue;
+    }
+    if (minion.speed < kSlowSpeed) {
+      AvoidMinion(now, minion, "its runs crawl");
+      minion.speed = 1;
+    }
+    const std::set<run_key> members = minion.members;
+    for (const run_key& run : members) {
+      const member_ref ref = FindMember(run, id);
+      if (ref.member == nullptr || ref.unit->phase != unit_phase::kActive ||
+          !StandsStill(ref)) {
+        continue;
+      }
+      counters_.Add("sched_runs_moved");
+      AvoidMinion(now, minion, "a run stands still");
+      ref.unit->failed_on.insert(id);
+      CloseUnit(now, *ref.job, *ref.unit, "it stands still");
+    }
+  }
+}
+
+}  // namespace sassafras::sched
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -39,7 +39,9 @@
   int percent = 0;        ///< Progress that the minion stated last.
   std::int64_t load = 0;  ///< Tail in ms, or cores; as stated last.
   instant load_at;        ///< When that was stated.
-  int paced_to = 100;     ///< Share of its speed that it was given.
+  int rate_percent = 0;   ///< Progress at `rate_at`; measures its speed.
+  instant rate_at;
+  int paced_to = 100;  ///< Share of its speed that it was given.
   bool is_pace_out = false;
   instant progressed_at;  ///< When that changed last.
 };
@@ -131,6 +133,7 @@
   instant next_quick_look;
   instant leaves_at;         ///< Earliest end, if it drains.
   bool is_cordoned = false;  ///< Gets no tasks: its upkeep is due.
+  double speed = 1;          ///< Of its runs against their estimates, lately.
   int filler_percent = 100;  ///< Share that its fillers should work at.
   instant paced_at;          ///< When that changed last.
   instant avoid_until;       ///< Gets no tasks until then.
