Write logs to standard output from a bounded queue, within a budget

Cause: each line was written to standard error by the thread that decided, and nothing bounded their number. Change: Boost.Log's asynchronous sink with a queue of 2,000 lines that drops and counts; lines about single decisions have a budget of 150 a second and process, what is left out is counted and told; the old programs use the same log.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -83,13 +83,13 @@
       self->given_.counters.AddError(*answer.failure);
     }
     self->given_.measured.Observe("call", outcome, took);
-    LogEvent("call_answered",
-             {{"call", what},
-              {"outcome", outcome},
-              {"detail", answer.detail},
-              {"config_age_ms",
-               std::to_string(self->given_.config.Age().count() / 1000)},
-              {"took_us", std::to_string(took.count())}});
+    LogDecision("call_answered",
+                {{"call", what},
+                 {"outcome", outcome},
+                 {"detail", answer.detail},
+                 {"config_age_ms",
+                  std::to_string(self->given_.config.Age().count() / 1000)},
+                 {"took_us", std::to_string(took.count())}});
     send(self->given_.world.encode_answer(answer));
   };
 }
@@ -193,9 +193,9 @@
       return;
     }
     const acceptance_result how = *deciding->Result();
-    LogEvent("submission", {{"job", id},
-                            {"outcome", std::string(GetName(how))},
-                            {"store", std::string(GetName(stored.state))}});
+    LogDecision("submission", {{"job", id},
+                               {"outcome", std::string(GetName(how))},
+                               {"store", std::string(GetName(stored.state))}});
     switch (how) {
       case acceptance_result::kAccepted:
         answer(Accepted(caller_answer::kind::kAccepted));
@@ -275,7 +275,8 @@
         const bool is_stored = stored.state == answer_state::kDone ||
                                (stored.state == answer_state::kNotDone &&
                                 stored.reason == error_kind::kConflict);
-        LogEvent("cancel", {{"job", id}, {"stored", is_stored ? "yes" : "no"}});
+        LogDecision("cancel",
+                    {{"job", id}, {"stored", is_stored ? "yes" : "no"}});
         if (is_stored) {
           answer(Accepted(caller_answer::kind::kCancelled));
         } else {
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -71,7 +71,7 @@
 }
 
 int entry_node::Run() {
-  StartLog(settings_.id.value);
+  StartLog(settings_.id.value, settings_.decision_lines);
   const auto after = [this](duration delay, std::function<void()> action) {
     After(delay, std::move(action));
   };
@@ -105,6 +105,7 @@
   }
   LogEvent("process_stopped",
            {{"cut", std::to_string(callers_->InProgress())}});
+  StopLog();
   return 0;
 }
 
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -17,6 +17,7 @@
 constexpr duration kShortest = milliseconds(1);
 constexpr duration kLongest = hours(24);
 constexpr int kMaxThreads = 64;
+constexpr int kMaxDecisionLines = 100'000;
 
 std::string ReadAddress(yaml_reader& reader,
                         const std::string& key,
@@ -72,22 +73,25 @@
                                          const std::string& text) {
   parsed_entry_settings parsed;
   entry_settings& settings = parsed.settings;
-  ReadYaml(file, text, unknown_keys::kRefuse, parsed.faults,
-           [&](yaml_reader& reader) {
-             settings.id.value = reader.ReadName("id");
-             settings.place.value = reader.ReadName("place");
-             settings.callers = ReadAddress(reader, "callers");
-             settings.readiness = ReadAddress(reader, "readiness");
-             settings.status = ReadAddress(reader, "status");
-             settings.store = ReadAddress(reader, "store");
-             settings.advice = ReadAddress(reader, "advice", "");
-             settings.machines = ReadAddress(reader, "machines", "");
-             settings.threads = static_cast<int>(
-                 reader.ReadInteger("threads", 1, kMaxThreads, 1));
-             reader.ReadMap("bounds", [&](yaml_reader& bounds) {
-               ReadBounds(bounds, settings);
-             });
-           });
+  ReadYaml(
+      file, text, unknown_keys::kRefuse, parsed.faults,
+      [&](yaml_reader& reader) {
+        settings.id.value = reader.ReadName("id");
+        settings.place.value = reader.ReadName("place");
+        settings.callers = ReadAddress(reader, "callers");
+        settings.readiness = ReadAddress(reader, "readiness");
+        settings.status = ReadAddress(reader, "status");
+        settings.store = ReadAddress(reader, "store");
+        settings.advice = ReadAddress(reader, "advice", "");
+        settings.machines = ReadAddress(reader, "machines", "");
+        settings.threads =
+            static_cast<int>(reader.ReadInteger("threads", 1, kMaxThreads, 1));
+        settings.decision_lines = static_cast<int>(reader.ReadInteger(
+            "decision_lines", 0, kMaxDecisionLines, settings.decision_lines));
+        reader.ReadMap("bounds", [&](yaml_reader& bounds) {
+          ReadBounds(bounds, settings);
+        });
+      });
   return parsed;
 }
 
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -679,10 +679,10 @@
 // since the decision.
 void job_owner::CarryOut(std::uint64_t tenure, sched::work_actions actions) {
   for (const sched::work_note& note : actions.notes) {
-    LogEvent(note.event, {{"job", note.job},
-                          {"task", note.task},
-                          {"minion", note.minion},
-                          {"detail", note.detail}});
+    LogDecision(note.event, {{"job", note.job},
+                             {"task", note.task},
+                             {"minion", note.minion},
+                             {"detail", note.detail}});
   }
   for (sched::start_order& order : actions.starts) {
     SendStart(tenure, std::move(order));
--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -122,6 +122,7 @@
   links_->Close();
   LogEvent("process_stopped",
            {{"cut", std::to_string(counters_.Get("stop_cut_requests"))}});
+  StopLog();
   return 0;
 }
 
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -1,39 +1,109 @@
 #include "sassafras/telemetry/log.h"
 
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/attributes/constant.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/drop_on_overflow.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/log/support/date_time.hpp>
 #include <boost/log/utility/setup/common_attributes.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
+#include <boost/smart_ptr/shared_ptr.hpp>
+#include <chrono>
 #include <iomanip>
 #include <iostream>
+#include <mutex>
+#include <optional>
 #include <sstream>
 
+#include "sassafras/telemetry/line_budget.h"
+
 namespace sassafras {
+namespace {
 
 namespace logging = boost::log;
 namespace expr = boost::log::expressions;
+namespace sinks = boost::log::sinks;
+
+// Lines that wait to be written; at 300 bytes a line, 600 KB.
+constexpr std::size_t kQueuedLines = 2000;
+
+std::atomic<std::uint64_t> left_out{0};
+
+// Drops lines that find the queue full, and counts them.
+class count_on_overflow : public sinks::drop_on_overflow {
+ public:
+  template <class Lock>
+  static bool on_overflow(const logging::record_view& /*line*/,
+                          Lock& /*lock*/) {
+    ++left_out;
+    return false;
+  }
+};
+
+using sink = sinks::asynchronous_sink<
+    sinks::text_ostream_backend,
+    sinks::bounded_fifo_queue<kQueuedLines, count_on_overflow>>;
+
+struct log_state {
+  std::mutex mutex;
+  boost::shared_ptr<sink> writer;
+  line_budget budget{kDefaultDecisionLines};
+};
+
+log_state& State() {
+  static log_state state;
+  return state;
+}
+
+instant Now() {
+  return std::chrono::time_point_cast<duration>(
+      std::chrono::steady_clock::now());
+}
+
+}  // namespace
 
-void StartLog(const std::string& process) {
+void StartLog(const std::string& process, int decision_lines) {
   logging::add_common_attributes();
   logging::core::get()->add_global_attribute(
       "Process", logging::attributes::constant<std::string>(process));
-  logging::add_console_log(
-      std::cerr,
-      logging::keywords::format =
-          (expr::stream << expr::format_date_time<boost::posix_time::ptime>(
+  const auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  const auto writer = boost::make_shared<sink>(backend);
+  writer->set_formatter(expr::stream
+                        << expr::format_date_time<boost::posix_time::ptime>(
                                "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                         << " process=" << expr::attr<std::string>("Process")
-                        << ' ' << expr::smessage),
-      logging::keywords::auto_flush = true);
+                        << ' ' << expr::smessage);
+  logging::core::get()->add_sink(writer);
+  const std::lock_guard lock(State().mutex);
+  State().writer = writer;
+  State().budget = line_budget(decision_lines);
 }
 
-void LogEvent(
-    std::string_view event,
-    std::initializer_list<std::pair<std::string_view, std::string>> fields) {
+void StopLog() {
+  boost::shared_ptr<sink> writer;
+  {
+    const std::lock_guard lock(State().mutex);
+    writer.swap(State().writer);
+  }
+  if (!writer) {
+    return;
+  }
+  logging::core::get()->remove_sink(writer);
+  writer->stop();
+  writer->flush();
+}
+
+void LogEvent(std::string_view event, log_fields fields) {
   std::ostringstream line;
   line << "event=" << event;
   for (const auto& [key, value] : fields) {
@@ -43,4 +113,26 @@
   BOOST_LOG(logger) << line.str();
 }
 
+void LogDecision(std::string_view event, log_fields fields) {
+  bool may_write = false;
+  std::optional<std::uint64_t> missing;
+  {
+    const std::lock_guard lock(State().mutex);
+    const instant now = Now();
+    may_write = State().budget.Take(now);
+    missing = State().budget.TakeLeftOut(now);
+  }
+  if (missing) {
+    left_out += *missing;
+    LogEvent("log_lines_left_out", {{"count", std::to_string(*missing)}});
+  }
+  if (may_write) {
+    LogEvent(event, fields);
+  }
+}
+
+std::uint64_t LogLinesLeftOut() {
+  return left_out.load();
+}
+
 }  // namespace sassafras
