Read the lease at scattered moments; answer at once when the store is away

Change: a contender's pause is 0.4 to 1 terms, by a hash of its id and its count of reads; the mark is not tried while the store is known to be away, the caller gets its 504 at once.

--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -103,6 +103,7 @@
   bool MayTake(instant sent, const table_row& row) const;
   bool IsOfEarlierStart(const row_state& state) const;
   duration CurrentTerm() const;
+  duration ContenderPause();
   void NoteAnswer(instant sent, instant now);
   void CapValidity(instant sent, duration term);
   void CheckClock(instant now);
@@ -129,7 +130,8 @@
   bool is_guard_unsettled_ = false;
   std::string guard_value_;  // Of the last Guard().
   duration guard_term_{0};
-  duration answer_time_{0};  // Of the store, falling slowly.
+  duration answer_time_{0};   // Of the store, falling slowly.
+  std::uint64_t contender_reads_ = 0;
   std::vector<sent_write> unsettled_;
   std::string seen_holder_;
   std::uint64_t seen_version_ = 0;
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -187,7 +187,16 @@
                            const reply& answer) {
   given_.table.commit(write, [self = shared_from_this(), deciding, id,
                               answer](const commit_answer& stored) {
-    if (auto next = deciding->OnAnswer(stored)) {
+    auto next = deciding->OnAnswer(stored);
+    if (next && stored.state == answer_state::kUnknown &&
+        self->given_.store.IsAway()) {
+      // The mark would wait for the same store; its caller need not.
+      self->given_.counters.Add("submission_left_unknown");
+      answer(self->Refuse(error_kind::kStoreUnknown,
+                          "the store's answer was lost and it is away"));
+      return;
+    }
+    if (next) {
       self->given_.counters.Add("submission_write_repeated");
       self->Store(deciding, *next, id, answer);
       return;
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -1,7 +1,9 @@
 #include "sassafras/cluster/lease.h"
 
 #include <algorithm>
+#include <functional>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <utility>
 
 #include "sassafras/core/invariant.h"
@@ -12,6 +14,9 @@
 constexpr int kRowFormat = 1;
 constexpr int kRenewalsPerTerm = 3;
 constexpr std::size_t kMaxUnsettled = 16;
+// Shortest pause of a contender between reads, as a share of the term.
+constexpr double kLeastPause = 0.4;
+constexpr std::size_t kPauseSteps = 1000;
 // A renewal is up to two calls, and one more may be under way before it.
 constexpr int kAnswersPerTerm = 6;
 // Share of the last answer time that counts on when the store is fast again.
@@ -40,10 +45,8 @@
                                         const table_row& row) {
   CheckClock(now);
   NoteAnswer(sent, now);
-  // Contenders read once a term, at different moments: the first of them to
-  // see that the row stands still takes over.
   next_read_ =
-      now + (is_held_ ? options_.term / kRenewalsPerTerm : options_.term);
+      now + (is_held_ ? options_.term / kRenewalsPerTerm : ContenderPause());
   if (is_given_up_) {
     return std::nullopt;
   }
@@ -227,6 +230,18 @@
          state.incarnation != options_.incarnation;
 }
 
+// Contenders read about once a term, at moments that differ from process to
+// process and from read to read, though all may have started together: the
+// first of them to see that the row stands still takes over.
+duration lease::ContenderPause() {
+  ++contender_reads_;
+  const std::size_t mixed = std::hash<std::string>()(
+      options_.holder.value + '/' + std::to_string(contender_reads_));
+  const double share = static_cast<double>(mixed % kPauseSteps) / kPauseSteps;
+  return std::chrono::duration_cast<duration>(
+      options_.term * (kLeastPause + (1 - kLeastPause) * share));
+}
+
 duration lease::CurrentTerm() const {
   return std::clamp(answer_time_ * kAnswersPerTerm, options_.term,
                     std::max(options_.term, options_.greatest_term));
