See runs that stand still sooner; keep urgent work off suspect minions

Change: looks each 0.6 s at minions with urgent runs; a run stands still after 1.2 s from when its gang was whole; such a minion rests for 6 s and gets urgent work only after a run has ended well there.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRAS_SRC_SCHED_WORK_IMPL_H_
 #define SASSAFRAS_SRC_SCHED_WORK_IMPL_H_
 
+#include <chrono>
 #include <map>
 #include <string>
 #include <utility>
@@ -160,7 +161,11 @@
                 minion_entry& minion,
                 const std::string& job,
                 run_end how);
-  void AvoidMinion(instant now, minion_entry& minion, std::string_view why);
+  void AvoidMinion(instant now,
+                   minion_entry& minion,
+                   std::string_view why,
+                   duration first = std::chrono::seconds(2));
+  bool HasUrgent(const minion_entry& minion) const;
 
   // work_placing.cc
   struct waiting_unit {
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -12,6 +12,8 @@
 // Where fillers run beside tasks that serve, their tail is looked at so often:
 // the minion's figure is one of half a second.
 constexpr duration kServingLookWait = std::chrono::milliseconds(400);
+// Urgent runs are over in seconds: one that stands still must be seen sooner.
+constexpr duration kUrgentLookWait = std::chrono::milliseconds(600);
 // A minion that did not answer is asked again after it.
 constexpr duration kSilentInterval = std::chrono::milliseconds(300);
 // Ends that are not durable yet hold the next look back for so long.
@@ -25,8 +27,6 @@
 // Failures of so many different jobs, without a success, speak against a
 // minion: a job of its own that fails is of one id.
 constexpr std::size_t kSuspiciousFailures = 2;
-// First pause of a minion that failed; doubles up to the limit.
-constexpr duration kFirstAvoidance = std::chrono::seconds(2);
 constexpr int kMaxPenalties = 3;
 // A listing of so many ends may not be whole.
 constexpr std::size_t kFullListing = 500;
@@ -332,6 +332,14 @@
                      });
 }
 
+bool work_core::impl::HasUrgent(const minion_entry& minion) const {
+  return std::any_of(
+      minion.members.begin(), minion.members.end(), [&](const run_key& run) {
+        const auto job = jobs_.find(run.task.job);
+        return job != jobs_.end() && job->second.job.priority == 0;
+      });
+}
+
 void work_core::impl::EmitLooks(instant now) {
   for (auto& [id, minion] : minions_) {
     if (minion.report.address.empty()) {
@@ -354,6 +362,7 @@
       EmitLook(now, minion,
                waits_for_store || minion.members.empty() ? duration(0)
                : HasServingBesideFillers(minion)         ? kServingLookWait
+               : HasUrgent(minion)                       ? kUrgentLookWait
                                                          : kLookWait,
                false);
     }
@@ -422,11 +431,16 @@
   }
 }
 
+// Several reasons at one time count once.
 void work_core::impl::AvoidMinion(instant now,
                                   minion_entry& minion,
-                                  std::string_view why) {
+                                  std::string_view why,
+                                  duration first) {
+  if (now < minion.avoid_until) {
+    return;
+  }
   counters_.Add("sched_minions_avoided");
-  minion.avoid_until = now + kFirstAvoidance * (1 << minion.penalties);
+  minion.avoid_until = now + first * (1 << minion.penalties);
   minion.penalties = std::min(minion.penalties + 1, kMaxPenalties);
   Note("minion_avoided", "", "", minion.report.id, std::string(why));
 }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -250,7 +250,11 @@
     CountSameStep(job, unit, views);
   }
   for (minion_view& view : views) {
-    view.has_failed_it = unit.failed_on.contains(view.id);
+    // Urgent work does not try out minions that were avoided and have not
+    // ended a run well since.
+    const bool is_suspect =
+        job.job.priority == 0 && minions_.at(view.id).penalties > 0;
+    view.has_failed_it = is_suspect || unit.failed_on.contains(view.id);
   }
   placement_limits limits;
   limits.is_urgent = job.job.priority == 0;
--- a/src/sched/work_progress.cc
+++ b/src/sched/work_progress.cc
@@ -16,9 +16,12 @@
 constexpr double kSlowSpeed = 0.33;
 // A run without any progress for so long, and for this share of its estimate,
 // stands still.
-constexpr duration kStallTime = std::chrono::milliseconds(1800);
+constexpr duration kStallTime = std::chrono::milliseconds(1200);
 constexpr double kStallShare = 0.2;
 constexpr int kWholePercent = 100;
+// First pause of a minion on which runs stand still or crawl: its trouble is
+// seen late and lasts for seconds.
+constexpr duration kBadMinionPause = std::chrono::seconds(6);
 
 }  // namespace
 
@@ -59,7 +62,15 @@
       step.is_filler || member.percent >= kWholePercent) {
     return false;
   }
-  const duration still = member.load_at - member.progressed_at;
+  // A gang works from when all its members are there.
+  instant since = member.progressed_at;
+  for (const unit_member& other : ref.unit->members) {
+    if (other.phase != member_phase::kRunning) {
+      return false;
+    }
+    since = std::max(since, other.confirmed_at);
+  }
+  const duration still = member.load_at - since;
   const auto share =
       std::chrono::duration_cast<duration>(step.estimate * kStallShare);
   return still > std::max(kStallTime, share);
@@ -73,7 +84,7 @@
       continue;
     }
     if (minion.speed < kSlowSpeed) {
-      AvoidMinion(now, minion, "its runs crawl");
+      AvoidMinion(now, minion, "its runs crawl", kBadMinionPause);
       minion.speed = 1;
     }
     const std::set<run_key> members = minion.members;
@@ -84,7 +95,7 @@
         continue;
       }
       counters_.Add("sched_runs_moved");
-      AvoidMinion(now, minion, "a run stands still");
+      AvoidMinion(now, minion, "a run stands still", kBadMinionPause);
       ref.unit->failed_on.insert(id);
       CloseUnit(now, *ref.job, *ref.unit, "it stands still");
     }
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -395,7 +395,7 @@
 
   SECTION("because its minion stands still: it runs elsewhere") {
     bad->speed = 0;
-    REQUIRE(fleet.RunUntilEnded(9s));
+    REQUIRE(fleet.RunUntilEnded(6s));
     CHECK(fleet.starts["a"] == 2);
     CHECK(bad->running.empty());
     CheckSound(fleet);
