--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -26,6 +26,9 @@
   /// The id names one VM with one process at a time, so that a lease of an
   /// earlier start under it is free at once.
   bool is_id_exclusive = false;
+  /// Others that are fitter may take a free lease first: this process waits so
+  /// much longer.
+  duration take_delay{0};
   duration margin{500'000};  ///< Before its end the holder stops acting.
 };
 
@@ -130,13 +133,14 @@
   bool is_guard_unsettled_ = false;
   std::string guard_value_;  // Of the last Guard().
   duration guard_term_{0};
-  duration answer_time_{0};   // Of the store, falling slowly.
+  duration answer_time_{0};  // Of the store, falling slowly.
   std::uint64_t contender_reads_ = 0;
   std::vector<sent_write> unsettled_;
   std::string seen_holder_;
   std::uint64_t seen_version_ = 0;
   row_state seen_;
   instant seen_since_;
+  bool was_absent_ = false;  // At the last read, which says since when.
 };
 
 /// Whether monotonic clocks whose rates differ by `rate_difference` (0.01 is
--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -61,7 +61,8 @@
 struct expired_job {
   std::string id;
   std::uint64_t accepted_version = 0;
-  std::uint64_t record_version = 0;
+  std::uint64_t cancel_version = 0;  ///< 0: never cancelled.
+  std::uint64_t record_version = 0;  ///< 0: none was written.
 };
 
 /// All decisions of the owner of the jobs: which task runs where, what is
@@ -93,8 +94,8 @@
              const std::optional<job_record>& record,
              std::uint64_t record_version);
 
-  /// The caller of job `id` has cancelled it.
-  void OnCancel(instant now, const std::string& id);
+  /// The caller of job `id` has cancelled it, by the row of this version.
+  void OnCancel(instant now, const std::string& id, std::uint64_t version);
 
   /// Takes in the platform's list of minions, whole.
   void OnMinions(instant now, const std::vector<minion_report>& minions);
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -17,6 +17,7 @@
 constexpr duration kShortest = milliseconds(1);
 constexpr duration kLongest = hours(24);
 constexpr int kMaxThreads = 64;
+constexpr double kMaxShare = 1024;
 constexpr int kMaxDecisionLines = 100'000;
 
 std::string ReadAddress(yaml_reader& reader,
@@ -30,6 +31,27 @@
   return address;
 }
 
+// A number that may have a fraction; 0 if `text` is none.
+double ToNumber(const std::string& text) {
+  double number = 0;
+  const auto [end, code] =
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  const bool is_number =
+      code == std::errc() && end == text.data() + text.size();
+  return is_number ? number : 0;
+}
+
+double ReadShare(yaml_reader& reader, const std::string& key) {
+  const std::string text = reader.ReadString(key, "1");
+  const double share = ToNumber(text);
+  if (share <= 0 || share > kMaxShare) {
+    reader.AddFault(key, "'" + text + "' is out of range",
+                    "a number of cores, such as 0.25");
+    return 1;
+  }
+  return share;
+}
+
 // Seconds that may have a fraction, as platforms state them.
 duration ReadSeconds(yaml_reader& reader,
                      const std::string& key,
@@ -38,13 +60,8 @@
   if (text.empty()) {
     return fallback;
   }
-  double seconds = 0;
-  const auto [end, code] =
-      std::from_chars(text.data(), text.data() + text.size(), seconds);
-  const bool is_number =
-      code == std::errc() && end == text.data() + text.size();
   const auto value = std::chrono::duration_cast<duration>(
-      std::chrono::duration<double>(is_number ? seconds : 0));
+      std::chrono::duration<double>(ToNumber(text)));
   if (value < kShortest || value > kLongest) {
     reader.AddFault(key, "'" + text + "' is out of range",
                     "seconds, such as 6 or 4.5, up to a day");
@@ -88,6 +105,7 @@
             static_cast<int>(reader.ReadInteger("threads", 1, kMaxThreads, 1));
         settings.decision_lines = static_cast<int>(reader.ReadInteger(
             "decision_lines", 0, kMaxDecisionLines, settings.decision_lines));
+        settings.processor_share = ReadShare(reader, "processor_share");
         reader.ReadMap("bounds", [&](yaml_reader& bounds) {
           ReadBounds(bounds, settings);
         });
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -22,7 +22,8 @@
   std::string machines;   ///< "IP:port" of the service for machines; or empty.
 
   int threads = 1;
-  int decision_lines = 150;  ///< Log lines a second about single decisions.
+  double processor_share = 1;  ///< Cores that the process may use.
+  int decision_lines = 150;    ///< Log lines a second about single decisions.
   duration greatest_lease{6'000'000};  ///< Of what runs on a minion.
   duration stop_time{400'000};         ///< Longest time a stop takes.
   duration gang_timeout{3'000'000};    ///< A gang must be whole within it.
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -20,6 +20,10 @@
 // While the store answers slowly. Bounds how long a crash of the owner can go
 // unnoticed then.
 constexpr duration kGreatestLeaseTerm = 4s;
+// The owner's decisions need a tenth of a core at 350 minions; VMs with less
+// than twice that leave the ownership to others for a while.
+constexpr double kSmallShare = 0.2;
+constexpr duration kSmallDelay = 700ms;
 // The owner renews this often where no record is written meanwhile.
 constexpr duration kRenewInterval = 200ms;
 // Events that come together are decided on together.
@@ -89,6 +93,9 @@
   options.term = kLeaseTerm;
   options.greatest_term = kGreatestLeaseTerm;
   options.is_id_exclusive = true;
+  if (settings_.processor_share < kSmallShare) {
+    options.take_delay = kSmallDelay;
+  }
   options.margin = kLeaseMargin;
   const std::weak_ptr<job_owner> weak = weak_from_this();
   lease_keeper::hooks hooks;
@@ -305,7 +312,7 @@
   const instant now = program_.now();
   const std::string cancelled = sched::CancelledId(row.key);
   if (!cancelled.empty()) {
-    core_->OnCancel(now, cancelled);
+    core_->OnCancel(now, cancelled, row.version);
     return;
   }
   const auto decoded = sched::DecodeJobRow(row.value);
@@ -492,6 +499,10 @@
       erased.push_back(
           {sched::kRecordTable + job.id, job.record_version, "", true});
     }
+    if (job.cancel_version != 0) {
+      erased.push_back(
+          {sched::CancelKey(job.id), job.cancel_version, "", true});
+    }
     lease_->Commit(std::move(erased), [this](const commit_answer& answer) {
       counters_.Add(answer.state == answer_state::kDone
                         ? "expired_jobs_erased"
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -68,7 +68,8 @@
     return Prepare(now, seen_.epoch + 1, row.version, row.value);
   }
   // The first read at which the row may have stood for a whole term.
-  const instant may_take = seen_since_ + std::max(options_.term, seen_.term);
+  const instant may_take =
+      seen_since_ + std::max(options_.term, seen_.term) + options_.take_delay;
   if (may_take > now) {
     next_read_ = std::min(next_read_, may_take);
   }
@@ -217,10 +218,13 @@
   if (row.version != seen_version_) {
     return false;
   }
-  if (row.version == 0 || seen_.is_released || IsOfEarlierStart(seen_)) {
+  if (row.version != 0 && IsOfEarlierStart(seen_)) {
     return true;
   }
-  return sent - seen_since_ >= std::max(options_.term, seen_.term);
+  const bool is_free = row.version == 0 || seen_.is_released;
+  const duration term =
+      is_free ? duration(0) : std::max(options_.term, seen_.term);
+  return sent - seen_since_ >= term + options_.take_delay;
 }
 
 // A guard of models/placement.pml, by another argument: the process that held
@@ -265,9 +269,11 @@
 }
 
 void lease::Observe(instant now, const table_row& row, const row_state& state) {
-  if (row.version == seen_version_ && row.version != 0) {
+  const bool is_absent = row.version == 0;
+  if (row.version == seen_version_ && is_absent == was_absent_) {
     return;
   }
+  was_absent_ = is_absent;
   seen_version_ = row.version;
   seen_since_ = now;
   if (row.version == 0) {
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -113,12 +113,18 @@
   }
 }
 
-void work_core::impl::CancelJob(instant now, const std::string& id) {
+void work_core::impl::CancelJob(instant now,
+                                const std::string& id,
+                                std::uint64_t version) {
   const auto it = jobs_.find(id);
-  if (it == jobs_.end() || it->second.IsEnded()) {
+  if (it == jobs_.end()) {
     return;
   }
   job_entry& job = it->second;
+  job.cancel_version = version;
+  if (job.IsEnded()) {
+    return;
+  }
   job.is_cancelled = true;
   Note("job_cancelled", id, "", "", "by its caller");
   for (work_unit& unit : job.units) {
@@ -174,7 +180,8 @@
         std::all_of(job.units.begin(), job.units.end(),
                     [](const work_unit& unit) { return unit.members.empty(); });
     if (is_settled && now - job.ended_at > options_.state_retention) {
-      expired.push_back({it->first, job.accepted_version, job.record_version});
+      expired.push_back({it->first, job.accepted_version, job.cancel_version,
+                         job.record_version});
       it = jobs_.erase(it);
     } else {
       ++it;
@@ -227,8 +234,10 @@
   impl_->TakeJob(now, job, accepted_version, record, record_version);
 }
 
-void work_core::OnCancel(instant now, const std::string& id) {
-  impl_->CancelJob(now, id);
+void work_core::OnCancel(instant now,
+                         const std::string& id,
+                         std::uint64_t version) {
+  impl_->CancelJob(now, id, version);
 }
 
 void work_core::OnMinions(instant now,
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -29,7 +29,7 @@
                std::uint64_t accepted_version,
                const std::optional<job_record>& record,
                std::uint64_t record_version);
-  void CancelJob(instant now, const std::string& id);
+  void CancelJob(instant now, const std::string& id, std::uint64_t version);
   std::map<std::string, int> WaitingByQueue() const;
   std::string Explain(const std::string& id) const;
   std::vector<expired_job> TakeExpired(instant now, std::size_t most);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -86,6 +86,7 @@
   std::uint64_t change = 0;   ///< Number of its last change.
   std::uint64_t written = 0;  ///< Last change that is durable.
   std::uint64_t record_version = 0;
+  std::uint64_t cancel_version = 0;
   instant ended_at;
 
   bool IsEnded() const {
--- a/tests/entry_settings_test.cc
+++ b/tests/entry_settings_test.cc
@@ -11,12 +11,14 @@
     "id: front-1\nplace: lahore\ncallers: 10.0.0.1:80\n"
     "readiness: 10.0.0.1:81\nstatus: 10.0.0.1:82\nstore: 10.0.0.9:80\n"
     "advice: \"\"\nmachines: 10.0.0.8:80\n"
+    "processor_share: 0.25\n"
     "bounds:\n  greatest_lease: 6000ms\n  stop_grace_seconds: 4.5\n";
 
 TEST_CASE("Settings of an entry process") {
   const auto parsed = ParseEntrySettings("s.yaml", kWhole);
   REQUIRE(parsed.faults.empty());
   CHECK(parsed.settings.id.value == "front-1");
+  CHECK(parsed.settings.processor_share == 0.25);
   CHECK(parsed.settings.advice.empty());
   CHECK(parsed.settings.machines == "10.0.0.8:80");
   CHECK(parsed.settings.greatest_lease == 6s);
@@ -32,13 +34,16 @@
     }
     return all;
   };
-  CHECK(faults(kWhole + "  odd: 1\n").find("s.yaml:12: bounds.odd") !=
+  CHECK(faults(kWhole + "  odd: 1\n").find("s.yaml:13: bounds.odd") !=
         std::string::npos);
   CHECK(faults(kWhole + "more: 1\n").find("unknown key") != std::string::npos);
   std::string wrong = kWhole;
   wrong.replace(wrong.find("10.0.0.9:80"), 11, "store.local");
   CHECK(faults(wrong).find("no address") != std::string::npos);
   wrong = kWhole;
+  wrong.replace(wrong.find("0.25"), 4, "none");
+  CHECK(faults(wrong).find("processor_share") != std::string::npos);
+  wrong = kWhole;
   wrong.replace(wrong.find("4.5"), 3, "x.5");
   CHECK(faults(wrong).find("stop_grace_seconds") != std::string::npos);
 }
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -107,7 +107,7 @@
       }
       core->OnJob(now, job, 1, record, row.version);
       if (cancelled.contains(id)) {
-        core->OnCancel(now, id);
+        core->OnCancel(now, id, kCancelVersion);
       }
     }
     List();
@@ -122,7 +122,7 @@
 
   void Cancel(const std::string& id) {
     cancelled.insert(id);
-    core->OnCancel(now, id);
+    core->OnCancel(now, id, kCancelVersion);
   }
 
   /// The platform's list: what is up and can reach it.
@@ -197,6 +197,7 @@
   }
 
   static constexpr duration kLease = std::chrono::seconds(6);
+  static constexpr std::uint64_t kCancelVersion = 77;
   static constexpr duration kStep = std::chrono::milliseconds(5);
 
   instant now;
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -126,6 +126,26 @@
   }
 }
 
+TEST_CASE("A process may leave a free lease to others for a while") {
+  fake_table table;
+  lease_options options = Options("s1", "a");
+  options.take_delay = milliseconds(700);
+  contender small(options);
+  CHECK_FALSE(small.Step(table, At(0)));
+
+  SECTION("it takes what nobody else took") {
+    CHECK_FALSE(small.Step(table, At(699)));
+    CHECK(small.Step(table, At(700)));
+  }
+  SECTION("it waits longer than a term for another's") {
+    contender large("s2", "b");
+    REQUIRE(large.Step(table, At(100)));
+    CHECK_FALSE(small.Step(table, At(200)));
+    CHECK_FALSE(small.Step(table, At(3'899)));
+    CHECK(small.Step(table, At(3'900)));
+  }
+}
+
 TEST_CASE("A slow store makes the lease longer") {
   fake_table table;
   lease_options options = Options("s1", "a");
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -69,6 +69,23 @@
   }
 }
 
+TEST_CASE("Rows of ended jobs go after the time that they can be asked for") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 100ms));
+  fleet.Submit(OneStep("b", 1, 1, kSmall, 20s));
+  fleet.Run(500ms);
+  fleet.Cancel("b");
+  fleet.Run(1s);
+  CHECK(fleet.core->TakeExpired(fleet.now + 60s, 10).empty());
+  const auto expired = fleet.core->TakeExpired(fleet.now + 200s, 10);
+  REQUIRE(expired.size() == 2);
+  CHECK(expired[0].id == "a");
+  CHECK(expired[0].cancel_version == 0);
+  CHECK(expired[0].record_version == fleet.table.Read("records/a").version);
+  CHECK(expired[1].cancel_version == fake_fleet::kCancelVersion);
+  CHECK_FALSE(fleet.core->StateOf("a"));
+}
+
 TEST_CASE("A due time is waited for") {
   fake_fleet fleet({});
   accepted_job job = OneStep("a", 1, 1, kSmall, 100ms);
