--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -2,6 +2,7 @@
 
 #include "platform/base64.h"
 #include "platform/decode.h"
+#include "platform/machine_calls.h"
 #include "platform/order_calls.h"
 
 namespace sassafras::platform {
@@ -96,6 +97,23 @@
   }
 }
 
+TEST_CASE("A wave of upkeep and its status") {
+  const auto wave = DecodeWave(
+      {"op/wave/1",
+       R"({"wave":1,"machines":["m-1","m-2"],"deadlineS":20,"maxCount":2})",
+       5});
+  REQUIRE(wave);
+  CHECK(wave->number == 1);
+  CHECK(wave->machines == std::vector<std::string>{"m-1", "m-2"});
+  CHECK(wave->deadline == 20s);
+  CHECK(wave->most_at_once == 2);
+  CHECK_FALSE(DecodeWave({"op/other", "{}", 5}));
+  CHECK_FALSE(DecodeWave({"op/wave/1", "{}", 5}));
+  const table_write status = EncodeWaveStatus({1, true});
+  CHECK(status.key == "status/wave/1");
+  CHECK(status.value == R"({"state":"complete","wave":1})");
+}
+
 TEST_CASE("A submission") {
   const auto job = DecodeJob(
       R"json({"spec":"(text)","steps":[{"count":4,"cpu":500,"memMb":256,)json"
