--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -8,7 +8,7 @@
 
 git ls-files '*.cc' '*.h' | xargs clang-format --dry-run --Werror
 if [ $# -eq 0 ]; then
-  set -- "^$PWD/(src|programs|bench|tests)/.*\\.cc\$"
+  set -- "^$PWD/(src|platform|programs|bench|tests)/.*\\.cc\$"
 fi
 if ! run-clang-tidy -quiet -j "${LINT_JOBS:-$(nproc)}" -p "$build" "$@" > "$build/tidy.log" 2>&1; then
   grep -E '(warning|error):' "$build/tidy.log" | sort -u
