--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -344,7 +344,8 @@
   serving.spec.steps[0].tail_target = 100ms;
   accepted_job filling = OneStep("fill", 2, 1, {128'000, 1000, 0}, 60s);
   filling.spec.steps[0].is_filler = true;
-  int disturbance = 2;  // Milliseconds of tail per percent of the filler.
+  std::int64_t disturbance =
+      2;  // Milliseconds of tail per percent of the filler.
   fleet.load_of = [&](const fake_minion& minion, const run_key& run) {
     if (run.task.job == "fill") {
       return std::int64_t{0};
