Drop the owner's second list of where runs are

Cause: reading the change again: work_core kept a map from run to minion that nothing read, beside each minion's own set of runs; a comment on Retry-After named another time than its constants. Change: the map and its upkeep go, the comment says what is done. Behaviour stays.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -21,8 +21,8 @@
 constexpr duration kKeyMargin = std::chrono::milliseconds(1200);
 // A configuration of this age may lack a queue or key that was added.
 constexpr duration kFreshConfig = std::chrono::milliseconds(2500);
-// Callers are asked to come back after 1 s, and up to as long later as the
-// store has been away, so that they do not all come at once.
+// Callers are asked to come back within the time that the store has been away,
+// between these, so that they do not all come at once.
 constexpr duration kLeastRetry = std::chrono::milliseconds(500);
 constexpr duration kMostRetry = std::chrono::seconds(3);
 
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -104,9 +104,7 @@
     }
     minion.last_grant = std::max(minion.last_grant, began_);
     minion.used += entry.job.spec.steps.at(unit.step).Reserved();
-    const run_key key = KeyOf(entry, unit, member);
-    minion.members.insert(key);
-    places_[key] = at.minion;
+    minion.members.insert(KeyOf(entry, unit, member));
   }
   if (!unit.members.empty()) {
     unit.phase = unit_phase::kActive;
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -244,7 +244,6 @@
   service_config_ptr config_;
   std::map<std::string, job_entry> jobs_;
   std::map<std::string, minion_entry> minions_;
-  std::map<run_key, std::string> places_;  // Minion of each run not over.
   std::uint64_t changes_ = 0;
   bool is_commit_out_ = false;
   instant next_commit_;
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -296,7 +296,6 @@
     minion.used += needs;
     const run_key key = KeyOf(job, unit, unit.members.back());
     minion.members.insert(key);
-    places_[key] = view.id;
   }
   unit.phase = unit_phase::kClaimed;
   Note("run_placed", job.job.id,
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -218,7 +218,6 @@
   CheckInvariant(member.phase != member_phase::kOver, "member_ends_once");
   member.phase = member_phase::kOver;
   const run_key key = KeyOf(job, unit, member);
-  places_.erase(key);
   minion_entry& minion = MinionOf(member.life.id);
   minion.used -= job.job.spec.steps.at(unit.step).Reserved();
   minion.members.erase(key);
