Read the list of minions whole

Cause: the owner read one page of 500 entries; of 1,900 minions the others got no tasks and were taken to be gone. Three places paged through a table, each in its own way.

Change: ScanAll reads all pages and states the version of the first; the owner uses it for records, jobs and minions. A failed load is logged, and erasing expired rows no longer holds a bare pointer to the owner.

Test: table_scan_test with 0 to 1,900 rows, a page that fails, and writes between pages.

--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -197,7 +197,7 @@
   RepeatDecision();
   LogEvent("ownership_gained", {{"epoch", std::to_string(epoch)},
                                 {"fence", std::to_string(fence)}});
-  Load(tenure, std::make_shared<loaded_rows>());
+  Load(tenure);
 }
 
 void job_owner::OnLost() {
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -71,13 +71,6 @@
   // Before a call to the store that failed is tried again.
   static constexpr duration kRetryPause = std::chrono::milliseconds(100);
 
-  // What was read of the store at the beginning of a tenure.
-  struct loaded_rows {
-    std::uint64_t from_version = 0;  ///< Changes are followed from here.
-    std::vector<table_row> records;
-    std::vector<table_row> jobs;
-  };
-
   job_owner(const outside& world,
             const table_port& table,
             const entry_settings& settings,
@@ -89,16 +82,18 @@
   void Renew();
   void OnGained(std::uint64_t epoch);
   void OnLost();
-  void Load(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows);
-  void LoadPage(std::uint64_t tenure,
-                std::shared_ptr<loaded_rows> rows,
-                std::string prefix,
-                std::vector<table_row> loaded_rows::*into);
-  void BeginWork(std::uint64_t tenure, const loaded_rows& rows);
+  void Load(std::uint64_t tenure);
+  void LoadTable(std::uint64_t tenure,
+                 const std::string& prefix,
+                 std::function<void(const read_answer&)> done);
+  bool Holds(std::uint64_t tenure) const;
+  void BeginWork(std::uint64_t tenure,
+                 const read_answer& recorded,
+                 const read_answer& jobs);
   void TakeRow(const table_row& row,
                const std::map<std::string, const table_row*>& records);
   void FollowJobs(std::uint64_t tenure, std::uint64_t after);
-  void ReadJobsAnew(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows);
+  void ReadJobsAnew(std::uint64_t tenure);
   void ListMinions(std::uint64_t tenure);
   void TakeMinionRows(std::uint64_t tenure, const read_answer& answer);
   void PublishWaiting(std::uint64_t tenure);
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -3,6 +3,7 @@
 #include <chrono>
 #include <utility>
 
+#include "sassafras/net/table_scan.h"
 #include "sassafras/sched/job_codec.h"
 #include "sassafras/telemetry/log.h"
 
@@ -17,58 +18,53 @@
 // Counts of waiting jobs may be 2 s old.
 constexpr duration kWaitingInterval = 700ms;
 constexpr duration kExpiryInterval = 10s;
-constexpr std::size_t kPageRows = 500;
 constexpr std::size_t kMaxErasedPerCommit = 30;
 
 }  // namespace
 
-// The version to follow from is taken before the rows, so that no change
-// between is missed.
-void job_owner::Load(std::uint64_t tenure, std::shared_ptr<loaded_rows> rows) {
-  LoadPage(tenure, rows, sched::kRecordTable, &loaded_rows::records);
+// Only the owner writes records, so that none changes between the two reads.
+void job_owner::Load(std::uint64_t tenure) {
+  LoadTable(tenure, sched::kRecordTable,
+            [self = shared_from_this(), tenure](const read_answer& records) {
+              self->LoadTable(tenure, sched::kJobTable,
+                              [self, tenure, records](const read_answer& jobs) {
+                                self->BeginWork(tenure, records, jobs);
+                              });
+            });
 }
 
-void job_owner::LoadPage(std::uint64_t tenure,
-                         std::shared_ptr<loaded_rows> rows,
-                         std::string prefix,
-                         std::vector<table_row> loaded_rows::*into) {
-  std::vector<table_row>& page = (*rows).*into;
-  const std::string after = page.empty() ? std::string() : page.back().key;
-  table_.scan(
-      prefix, after, kPageRows,
-      [self = shared_from_this(), tenure, rows, prefix,
-       into](const read_answer& answer) {
-        {
-          const std::lock_guard lock(self->mutex_);
-          if (!self->holds_ || self->tenure_ != tenure) {
-            return;
-          }
-        }
-        if (answer.state != answer_state::kDone) {
-          self->counters_.Add("owner_load_failed");
-          self->program_.after(kRetryPause, [self, tenure, rows, prefix, into] {
-            self->LoadPage(tenure, rows, prefix, into);
+// Reads until it succeeds or the tenure has ended.
+void job_owner::LoadTable(std::uint64_t tenure,
+                          const std::string& prefix,
+                          std::function<void(const read_answer&)> done) {
+  ScanAll(table_, prefix,
+          [self = shared_from_this(), tenure, prefix,
+           done = std::move(done)](const read_answer& answer) {
+            if (!self->Holds(tenure)) {
+              return;
+            }
+            if (answer.state == answer_state::kDone) {
+              done(answer);
+              return;
+            }
+            self->counters_.Add("owner_load_failed");
+            LogEvent("owner_load_failed", {{"table", prefix}});
+            self->program_.after(kRetryPause, [self, tenure, prefix, done] {
+              self->LoadTable(tenure, prefix, done);
+            });
           });
-          return;
-        }
-        if (rows->from_version == 0) {
-          rows->from_version = answer.store_version;
-        }
-        std::vector<table_row>& loaded = (*rows).*into;
-        loaded.insert(loaded.end(), answer.rows.begin(), answer.rows.end());
-        if (answer.has_more) {
-          self->LoadPage(tenure, rows, prefix, into);
-        } else if (into == &loaded_rows::records) {
-          self->LoadPage(tenure, rows, sched::kJobTable, &loaded_rows::jobs);
-        } else {
-          self->BeginWork(tenure, *rows);
-        }
-      });
 }
 
-void job_owner::BeginWork(std::uint64_t tenure, const loaded_rows& rows) {
+bool job_owner::Holds(std::uint64_t tenure) const {
+  const std::lock_guard lock(mutex_);
+  return core_ != nullptr && tenure_ == tenure;
+}
+
+void job_owner::BeginWork(std::uint64_t tenure,
+                          const read_answer& recorded,
+                          const read_answer& jobs) {
   std::map<std::string, const table_row*> records;
-  for (const table_row& row : rows.records) {
+  for (const table_row& row : recorded.rows) {
     records[row.key] = &row;
   }
   {
@@ -77,14 +73,14 @@
       return;
     }
     core_->OnConfig(config_);
-    for (const table_row& row : rows.jobs) {
+    for (const table_row& row : jobs.rows) {
       TakeRow(row, records);
     }
   }
-  LogEvent("jobs_loaded", {{"jobs", std::to_string(rows.jobs.size())},
-                           {"records", std::to_string(rows.records.size())},
-                           {"version", std::to_string(rows.from_version)}});
-  FollowJobs(tenure, rows.from_version);
+  LogEvent("jobs_loaded", {{"jobs", std::to_string(jobs.rows.size())},
+                           {"records", std::to_string(recorded.rows.size())},
+                           {"version", std::to_string(jobs.store_version)}});
+  FollowJobs(tenure, jobs.store_version);
   ListMinions(tenure);
   PublishWaiting(tenure);
   DropExpired(tenure);
@@ -149,7 +145,7 @@
         if (answer.is_history_gone) {
           self->counters_.Add("owner_history_gone");
           LogEvent("owner_history_gone", {});
-          self->ReadJobsAnew(tenure, std::make_shared<loaded_rows>());
+          self->ReadJobsAnew(tenure);
           return;
         }
         if (answer.state != answer_state::kDone) {
@@ -166,46 +162,28 @@
 }
 
 // After lost history: jobs that are known already are taken once only.
-void job_owner::ReadJobsAnew(std::uint64_t tenure,
-                             std::shared_ptr<loaded_rows> rows) {
-  const std::string after =
-      rows->jobs.empty() ? std::string() : rows->jobs.back().key;
-  table_.scan(
-      sched::kJobTable, after, kPageRows,
-      [self = shared_from_this(), tenure, rows](const read_answer& answer) {
-        if (answer.state != answer_state::kDone) {
-          self->program_.after(kRetryPause, [self, tenure, rows] {
-            self->ReadJobsAnew(tenure, rows);
-          });
-          return;
-        }
-        {
-          const std::lock_guard lock(self->mutex_);
-          if (!self->core_ || self->tenure_ != tenure) {
-            return;
-          }
-          for (const table_row& row : answer.rows) {
-            self->TakeRow(row, {});
-          }
-        }
-        if (rows->from_version == 0) {
-          rows->from_version = answer.store_version;
-        }
-        if (answer.has_more) {
-          rows->jobs = answer.rows;
-          self->ReadJobsAnew(tenure, rows);
-          return;
-        }
-        self->ScheduleDecision(kDecisionDelay);
-        self->FollowJobs(tenure, rows->from_version);
-      });
+void job_owner::ReadJobsAnew(std::uint64_t tenure) {
+  LoadTable(tenure, sched::kJobTable,
+            [self = shared_from_this(), tenure](const read_answer& jobs) {
+              {
+                const std::lock_guard lock(self->mutex_);
+                if (!self->core_ || self->tenure_ != tenure) {
+                  return;
+                }
+                for (const table_row& row : jobs.rows) {
+                  self->TakeRow(row, {});
+                }
+              }
+              self->ScheduleDecision(kDecisionDelay);
+              self->FollowJobs(tenure, jobs.store_version);
+            });
 }
 
 void job_owner::ListMinions(std::uint64_t tenure) {
-  table_.scan(world_.minion_table, "", kPageRows,
-              [self = shared_from_this(), tenure](const read_answer& answer) {
-                self->TakeMinionRows(tenure, answer);
-              });
+  ScanAll(table_, world_.minion_table,
+          [self = shared_from_this(), tenure](const read_answer& answer) {
+            self->TakeMinionRows(tenure, answer);
+          });
 }
 
 void job_owner::TakeMinionRows(std::uint64_t tenure,
@@ -295,11 +273,12 @@
       erased.push_back(
           {sched::CancelKey(job.id), job.cancel_version, "", true});
     }
-    lease_->Commit(std::move(erased), [this](const commit_answer& answer) {
-      counters_.Add(answer.state == answer_state::kDone
-                        ? "expired_jobs_erased"
-                        : "expired_jobs_not_erased");
-    });
+    lease_->Commit(std::move(erased),
+                   [self = shared_from_this()](const commit_answer& answer) {
+                     self->counters_.Add(answer.state == answer_state::kDone
+                                             ? "expired_jobs_erased"
+                                             : "expired_jobs_not_erased");
+                   });
   }
   program_.after(kExpiryInterval, [self = shared_from_this(), tenure] {
     self->DropExpired(tenure);
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -59,9 +59,14 @@
       return {answer_state::kNotDone, {}};
     }
     read_answer answer{answer_state::kDone, {}};
+    answer.store_version = revision_;
     for (auto it = rows.upper_bound(std::max(prefix, after)); it != rows.end();
          ++it) {
-      if (it->first.rfind(prefix, 0) != 0 || answer.rows.size() == limit) {
+      if (it->first.rfind(prefix, 0) != 0) {
+        break;
+      }
+      if (answer.rows.size() == limit) {
+        answer.has_more = true;
         break;
       }
       answer.rows.push_back(it->second);
@@ -85,12 +90,19 @@
       }
       done(std::move(answer));
     };
+    port.scan = [this](const std::string& prefix, const std::string& after,
+                       std::size_t limit,
+                       const std::function<void(read_answer)>& done) {
+      ++scans;
+      done(Scan(prefix, after, limit));
+    };
     return port;
   }
 
   bool is_down = false;
   bool loses_answer = false;
   int commits = 0;
+  int scans = 0;
   std::map<std::string, table_row> rows;
 
  private:
--- /dev/null
+++ b/tests/table_scan_test.cc
@@ -0,0 +1,65 @@
+#include <catch2/catch.hpp>
+#include <optional>
+
+#include "sassafras/net/table_scan.h"
+#include "tests/fake_table.h"
+
+namespace sassafras {
+namespace {
+
+TEST_CASE("A table is read whole, however many pages it has") {
+  fake_table table;
+  const int count = GENERATE(0, 1, 500, 501, 1900);
+  for (int i = 0; i < count; ++i) {
+    const std::string key = "minions/" + std::to_string(10'000 + i);
+    table.Commit({{key, 0, "row"}});
+  }
+  table.Commit({{"minionsbeside/1", 0, "of another table"}});
+  table_port port = table.Port();
+  std::optional<read_answer> whole;
+  const auto keep = [&](read_answer answer) { whole = std::move(answer); };
+
+  SECTION("rows come once each and in order") {
+    ScanAll(port, "minions/", keep);
+    REQUIRE(whole);
+    CHECK(whole->state == answer_state::kDone);
+    REQUIRE(static_cast<int>(whole->rows.size()) == count);
+    for (int i = 0; i < count; ++i) {
+      CHECK(whole->rows.at(static_cast<std::size_t>(i)).key ==
+            "minions/" + std::to_string(10'000 + i));
+    }
+  }
+  SECTION("changes during the read are not missed by following from it") {
+    const std::uint64_t before = table.Scan("", "", 1).store_version;
+    port.scan = [&](const std::string& prefix, const std::string& after,
+                    std::size_t limit,
+                    const std::function<void(read_answer)>& done) {
+      const read_answer page = table.Scan(prefix, after, limit);
+      table.Commit({{"other/" + std::to_string(table.commits), 0, ""}});
+      done(page);
+    };
+    ScanAll(port, "minions/", keep);
+    REQUIRE(whole);
+    CHECK(whole->store_version == before);
+  }
+  SECTION("a page that fails makes the whole fail") {
+    int pages = 0;
+    port.scan = [&](const std::string& prefix, const std::string& after,
+                    std::size_t limit,
+                    const std::function<void(read_answer)>& done) {
+      table.is_down = ++pages > 1;
+      done(table.Scan(prefix, after, limit));
+    };
+    ScanAll(port, "minions/", keep);
+    REQUIRE(whole);
+    if (count > 500) {
+      CHECK(whole->state == answer_state::kNotDone);
+      CHECK(whole->rows.empty());
+    } else {
+      CHECK(whole->state == answer_state::kDone);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace sassafras
