Reclaim guarantees from urgent borrowers; keep records within a row

Cause: guarantees were decoded and never used: urgent work of one team could hold all accelerators while another team's guaranteed jobs waited. And a job with over 800 tasks begun made its record larger than the 64 KB of a row: the store refused the commit, and with it the records of all other jobs, for good.

Change: urgent units within their team's guarantee come before other urgent ones and may stop urgent runs of teams that hold more than theirs, if nothing else makes room. Done units are recorded as ranges, and at most 600 tasks of a job are begun and not done.

Tests, failing before: "A team claims what it was promised" (0 of 2 members ran), "The record of a wide job fits in a row of the store" (74,322 bytes).

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -55,12 +55,17 @@
   std::vector<recorded_member> members;  ///< Of a run that may be going on.
 };
 
-/// What must outlive the owner about one job.
+/// What must outlive the owner about one job. Of a unit that is done and that
+/// no minion may still run, only that is kept.
 struct job_record {
   job_state state = job_state::kQueued;
   std::vector<recorded_unit> units;  ///< Those that ran at least once.
 };
 
+/// Tasks of one job that may be begun and not done at one time: what is
+/// recorded of each takes up to 100 bytes, and a row of the store 64 KB.
+inline constexpr int kMaxTasksUnderWay = 600;
+
 std::string EncodeWaiting(const std::map<std::string, int>& waiting);
 result<std::map<std::string, int>> DecodeWaiting(const std::string& text);
 
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -101,6 +101,26 @@
   return unit;
 }
 
+// Units of one step that are done: nothing else about them matters any more.
+struct done_range {
+  int occurrence = 0;
+  int step = 0;
+  int first = 0;
+  int last = 0;
+};
+
+void AddDone(std::vector<done_range>& ranges, const recorded_unit& unit) {
+  if (!ranges.empty()) {
+    done_range& range = ranges.back();
+    if (range.occurrence == unit.occurrence && range.step == unit.step &&
+        range.last + 1 == unit.index) {
+      range.last = unit.index;
+      return;
+    }
+  }
+  ranges.push_back({unit.occurrence, unit.step, unit.index, unit.index});
+}
+
 }  // namespace
 
 std::string EncodeJobRow(const job_row& row) {
@@ -189,11 +209,22 @@
 
 std::string EncodeRecord(const job_record& record) {
   json units = json::array();
+  std::vector<done_range> done;
   for (const recorded_unit& unit : record.units) {
-    units.push_back(ToJson(unit));
+    if (unit.is_done && unit.members.empty()) {
+      AddDone(done, unit);
+    } else {
+      units.push_back(ToJson(unit));
+    }
+  }
+  json ranges = json::array();
+  for (const done_range& range : done) {
+    ranges.push_back(
+        json::array({range.occurrence, range.step, range.first, range.last}));
   }
   return json{{"format", kRowFormat},
               {"state", static_cast<int>(record.state)},
+              {"done", std::move(ranges)},
               {"units", std::move(units)}}
       .dump();
 }
@@ -207,6 +238,17 @@
       return Fail(error_kind::kMalformed, "state of a record");
     }
     record.state = static_cast<job_state>(state);
+    for (const json& range : document.value("done", json::array())) {
+      const int last = range.at(3);
+      for (int index = range.at(2); index <= last; ++index) {
+        recorded_unit unit;
+        unit.occurrence = range.at(0);
+        unit.step = range.at(1);
+        unit.index = index;
+        unit.is_done = true;
+        record.units.push_back(std::move(unit));
+      }
+    }
     for (const json& unit : document.at("units")) {
       record.units.push_back(ToUnit(unit));
     }
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -89,7 +89,7 @@
     it->run = recorded.run;
     it->failed = recorded.failed;
     it->is_done = recorded.is_done;
-    it->has_started = recorded.run > 0;
+    it->has_started = recorded.run > 0 || recorded.is_done;
     it->checkpoint = recorded.checkpoint;
     if (it->is_done) {
       entry.SetPhase(*it, unit_phase::kDone);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -185,7 +185,24 @@
   void CountSameStep(const job_entry& job,
                      const work_unit& unit,
                      std::vector<minion_view>& views) const;
-  void AddEvictable(instant now, int priority, std::vector<minion_view>& views);
+  // On whose behalf runs are stopped.
+  struct eviction_claim {
+    int priority = 0;
+    std::string team;
+    bool takes_borrowed = false;  // Also urgent runs beyond a guarantee.
+  };
+  void CountUrgentUse();
+  static std::int64_t AcceleratorsOf(const job_entry& job,
+                                     const work_unit& unit);
+  std::int64_t GuaranteeOf(const std::string& team) const;
+  bool IsWithinGuarantee(const job_entry& job, const work_unit& unit) const;
+  bool GivesWay(instant now,
+                const eviction_claim& claim,
+                const job_entry& job,
+                const work_unit& unit) const;
+  void AddEvictable(instant now,
+                    const eviction_claim& claim,
+                    std::vector<minion_view>& views);
   bool TryPlace(instant now,
                 job_entry& job,
                 work_unit& unit,
@@ -200,7 +217,10 @@
                work_unit& unit,
                const std::vector<std::size_t>& places,
                std::vector<minion_view>& views);
-  void Evict(instant now, const job_entry& job, const work_unit& unit);
+  void Evict(instant now,
+             const eviction_claim& claim,
+             const job_entry& job,
+             const work_unit& unit);
   void CheckClaims(instant now);
   void Record(job_entry& job, work_unit& unit);
   double LossOf(instant now, const job_entry& job, const work_unit& unit) const;
@@ -255,6 +275,7 @@
   instant next_commit_;
   duration commit_backoff_{0};
   std::vector<sent_record> sent_records_;
+  std::map<std::string, std::int64_t> urgent_use_;  // By team; of one pass.
   std::map<step_key, step_advice> advice_;
   bool is_advice_out_ = false;
   bool should_place_ = true;
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -13,21 +13,19 @@
 // While units wait for room, events are so frequent that each pass serves those
 // of this time together.
 constexpr duration kCrowdedPause = std::chrono::milliseconds(15);
-// A claim whose evicted runs do not end is given up after it.
-constexpr duration kClaimTimeout = std::chrono::milliseconds(1500);
-// A pause before a given-up claim is placed anew.
-constexpr duration kClaimPause = std::chrono::milliseconds(100);
 // Share of its estimate that a step waits for one rack before it is spread: a
 // spread step takes a multiple of its time.
 constexpr double kRackPatience = 1.0;
-// Accelerators weigh in lost work like so many cores, as the users price them.
-constexpr double kCoresPerAccelerator = 8;
-constexpr double kMillicores = 1000;
-// Work after the last checkpoint, at most, when a step saves progress.
-constexpr duration kCheckpointLoss = std::chrono::seconds(1);
-constexpr std::size_t kMaxEvictionsPerMinion = 64;
-// A persistent task that has started up states this progress.
-constexpr int kAtWorkPercent = 100;
+
+// Tasks whose record takes a place of its own in the job's row.
+int TasksUnderWay(const job_entry& job) {
+  int tasks = 0;
+  for (const work_unit& unit : job.units) {
+    const bool is_over = unit.is_done && unit.members.empty();
+    tasks += unit.run > 0 && !is_over ? unit.width : 0;
+  }
+  return tasks;
+}
 
 }  // namespace
 
@@ -44,6 +42,9 @@
     return false;
   }
   const std::vector<int>& after = spec.steps.at(unit.step).after;
+  if (after.empty()) {
+    return true;
+  }
   return std::all_of(
       job.units.begin(), job.units.end(), [&](const work_unit& other) {
         return other.is_done || other.occurrence != unit.occurrence ||
@@ -59,18 +60,28 @@
     if (job->IsEnded() || job->CountOf(unit_phase::kWaiting) == 0) {
       continue;
     }
+    int under_way = TasksUnderWay(*job);
     for (work_unit& unit : job->units) {
-      if (IsReady(now, wall_ms, *job, unit)) {
+      if (!IsReady(now, wall_ms, *job, unit)) {
+        continue;
+      }
+      const bool is_begun = unit.run > 0;
+      if (is_begun || under_way == 0 ||
+          under_way + unit.width <= kMaxTasksUnderWay) {
         waiting.push_back({job, &unit});
+        under_way += is_begun ? 0 : unit.width;
       }
     }
   }
-  std::stable_sort(
-      waiting.begin(), waiting.end(),
-      [](const waiting_unit& left, const waiting_unit& right) {
-        return std::tuple(left.job->job.priority, left.job->accepted_version) <
-               std::tuple(right.job->job.priority, right.job->accepted_version);
-      });
+  const auto rank = [this](const waiting_unit& item) {
+    return std::tuple(item.job->job.priority,
+                      !IsWithinGuarantee(*item.job, *item.unit),
+                      item.job->accepted_version);
+  };
+  std::stable_sort(waiting.begin(), waiting.end(),
+                   [&](const waiting_unit& left, const waiting_unit& right) {
+                     return rank(left) < rank(right);
+                   });
   return waiting;
 }
 
@@ -121,89 +132,6 @@
   }
 }
 
-// Work in core-seconds that stopping the unit now would throw away.
-double work_core::impl::LossOf(instant now,
-                               const job_entry& job,
-                               const work_unit& unit) const {
-  const step_spec& step = job.job.spec.steps.at(unit.step);
-  duration ran{0};
-  for (const unit_member& member : unit.members) {
-    if (member.phase == member_phase::kRunning) {
-      ran = std::max(ran, now - member.confirmed_at);
-    }
-  }
-  if (step.saves_progress) {
-    ran = std::min(ran, kCheckpointLoss);
-  }
-  const double cores =
-      static_cast<double>(step.needs.millicores) / kMillicores +
-      static_cast<double>(step.needs.accelerators) * kCoresPerAccelerator;
-  return std::chrono::duration<double>(ran).count() * cores * unit.width;
-}
-
-// Room of less urgent runs may be taken; room of runs that stop already costs
-// nothing more.
-void work_core::impl::AddEvictable(instant now,
-                                   int priority,
-                                   std::vector<minion_view>& views) {
-  std::map<std::string, minion_view*> by_id;
-  for (minion_view& view : views) {
-    view.evictable = {};
-    view.evict_cost = 0;
-    by_id[view.id] = &view;
-  }
-  for (auto& [id, job] : open_jobs_) {
-    if (!job->HoldsRoom()) {
-      continue;
-    }
-    for (work_unit& unit : job->units) {
-      const bool is_closing = unit.phase == unit_phase::kClosing;
-      if (!is_closing &&
-          (job->job.priority <= priority ||
-           unit.phase == unit_phase::kWaiting ||
-           unit.phase == unit_phase::kDone || !MayStop(now, *job, unit))) {
-        continue;
-      }
-      const double loss = is_closing ? 0 : LossOf(now, *job, unit);
-      const room needs = job->job.spec.steps.at(unit.step).Reserved();
-      for (const unit_member& member : unit.members) {
-        const auto it = by_id.find(member.life.id);
-        if (member.phase != member_phase::kOver && it != by_id.end()) {
-          it->second->evictable += needs;
-          it->second->evict_cost += loss;
-        }
-      }
-    }
-  }
-}
-
-// Whether an order of ours may end the unit's run: of a persistent step only
-// so many tasks may be away at once.
-bool work_core::impl::MayStop(instant /*now*/,
-                              const job_entry& job,
-                              const work_unit& unit) const {
-  const step_spec& step = job.job.spec.steps.at(unit.step);
-  if (!step.is_persistent) {
-    return true;
-  }
-  int away = 0;
-  for (const work_unit& other : job.units) {
-    if (&other == &unit || other.step != unit.step ||
-        other.occurrence != unit.occurrence) {
-      continue;
-    }
-    const bool is_at_work =
-        other.phase == unit_phase::kActive &&
-        std::all_of(other.members.begin(), other.members.end(),
-                    [](const unit_member& member) {
-                      return member.phase == member_phase::kRunning &&
-                             member.percent == kAtWorkPercent;
-                    });
-    away += is_at_work ? 0 : other.width;
-  }
-  return away + unit.width <= step.may_miss;
-}
-
 void work_core::impl::PlaceAll(instant now, std::int64_t wall_unix_ms) {
   CheckClaims(now);
   if (now < place_after_ || (!should_place_ && now < next_place_)) {
@@ -211,6 +139,7 @@
   }
   should_place_ = false;
   next_place_ = now + kPlaceInterval;
+  CountUrgentUse();
   std::map<std::string, std::vector<minion_view>> views;
   std::vector<waiting_unit> unplaced;
   for (const waiting_unit& waiting : WaitingUnits(now, wall_unix_ms)) {
@@ -257,6 +186,7 @@
   const step_spec& other = unplaced.Step();
   const bool has_same_terms =
       (unit.job->job.priority == 0) == (unplaced.job->job.priority == 0) &&
+      !IsWithinGuarantee(*unit.job, *unit.unit) &&
       ServiceOf(*unit.job) == ServiceOf(*unplaced.job) &&
       step.required_label == other.required_label &&
       step.wants_one_rack == other.wants_one_rack &&
@@ -316,15 +246,27 @@
     limits.may_leave_rack = true;
     places = PlaceTasks(step, unit.width, views, limits);
   }
+  eviction_claim claim{job.job.priority, job.job.team, false};
   if (!places && job.job.priority == 0) {
-    AddEvictable(now, job.job.priority, views);
+    AddEvictable(now, claim, views);
     limits.may_evict = true;
     places = PlaceTasks(step, unit.width, views, limits);
   }
+  if (!places && IsWithinGuarantee(job, unit)) {
+    claim.takes_borrowed = true;
+    limits.may_leave_rack = true;
+    AddEvictable(now, claim, views);
+    places = PlaceTasks(step, unit.width, views, limits);
+  }
   if (!places) {
     return false;
   }
   Reserve(now, job, unit, *places, views);
+  if (job.job.priority == 0) {
+    urgent_use_[job.job.team] += AcceleratorsOf(job, unit);
+  }
+  Evict(now, claim, job, unit);
+  CheckClaims(now);
   return true;
 }
 
@@ -356,76 +298,6 @@
        unit.members.front().life.id,
        "tasks " + std::to_string(unit.width) + " waited_ms " +
            std::to_string((now - unit.waiting_since).count() / 1000));
-  Evict(now, job, unit);
-  CheckClaims(now);
-}
-
-// Stops the least urgent runs with the least loss until the claimed room will
-// be free.
-void work_core::impl::Evict(instant now,
-                            const job_entry& job,
-                            const work_unit& unit) {
-  struct victim {
-    member_ref ref;
-    double loss = 0;
-  };
-  for (const unit_member& member : unit.members) {
-    minion_entry& minion = MinionOf(member.life.id);
-    for (std::size_t round = 0; round < kMaxEvictionsPerMinion; ++round) {
-      room staying = minion.used;
-      std::optional<victim> best;
-      for (const auto& [run, ref] : minion.members) {
-        if (ref.unit->phase == unit_phase::kClosing) {
-          staying -= ref.Step().Reserved();
-          continue;
-        }
-        if (ref.job->job.priority <= job.job.priority ||
-            !MayStop(now, *ref.job, *ref.unit)) {
-          continue;
-        }
-        const victim candidate{ref, LossOf(now, *ref.job, *ref.unit)};
-        const auto rank = [](const victim& item) {
-          return std::pair(-item.ref.job->job.priority, item.loss);
-        };
-        if (!best || rank(candidate) < rank(*best)) {
-          best = candidate;
-        }
-      }
-      if (minion.report.capacity.Holds(staying) || !best) {
-        break;
-      }
-      counters_.Add("sched_evictions");
-      CloseUnit(now, *best->ref.job, *best->ref.unit,
-                "evicted for " + job.job.id);
-    }
-  }
-}
-
-// A claim becomes a run once what it was given has become free.
-void work_core::impl::CheckClaims(instant now) {
-  for (auto& [id, job] : open_jobs_) {
-    if (job->IsEnded() || job->CountOf(unit_phase::kClaimed) == 0) {
-      continue;
-    }
-    for (work_unit& unit : job->units) {
-      if (unit.phase != unit_phase::kClaimed) {
-        continue;
-      }
-      const bool is_free =
-          std::all_of(unit.members.begin(), unit.members.end(),
-                      [&](const unit_member& member) {
-                        const minion_entry& minion = MinionOf(member.life.id);
-                        return minion.report.capacity.Holds(minion.used);
-                      });
-      if (is_free) {
-        Record(*job, unit);
-      } else if (now - unit.claimed_at > kClaimTimeout) {
-        counters_.Add("sched_claims_given_up");
-        unit.not_before = now + kClaimPause;
-        CloseUnit(now, *job, unit, "claimed room did not become free");
-      }
-    }
-  }
 }
 
 void work_core::impl::Record(job_entry& job, work_unit& unit) {
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -226,6 +226,14 @@
     core->OnConfig(config_);
   }
 
+  /// Promises accelerators to a team, for its urgent jobs.
+  void Promise(const std::string& team, std::int64_t accelerators) {
+    auto config = std::make_shared<service_config>(*config_);
+    config->teams[team] = {team, accelerators};
+    config_ = config;
+    core->OnConfig(config_);
+  }
+
   /// Ends each run of `job` on `minion` as failed.
   void FailRuns(const std::string& job) {
     for (auto& [id, minion] : minions) {
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -188,6 +188,87 @@
   }
 }
 
+TEST_CASE("A team claims what it was promised") {
+  fake_fleet fleet({});
+  fleet.Promise("owner", 16);
+  const auto urgent = [](const std::string& id, const std::string& team,
+                         int width, duration length) {
+    accepted_job job = Gang(id, 0, width);
+    job.team = team;
+    job.spec.steps[0].estimate = length;
+    return job;
+  };
+  for (int i = 0; i < 8; ++i) {
+    fleet.Submit(urgent("other" + std::to_string(i), "borrower", 1, 20s));
+  }
+  fleet.Run(500ms);
+  const auto others = [&] {
+    int running = 0;
+    for (int i = 0; i < 8; ++i) {
+      running += fleet.Running("other" + std::to_string(i));
+    }
+    return running;
+  };
+  REQUIRE(others() == 8);
+
+  SECTION("from urgent work of a team that holds more than its share") {
+    fleet.Submit(urgent("claim", "owner", 2, 2s));
+    fleet.Run(1s);
+    CHECK(fleet.Running("claim") == 2);
+    CHECK(others() == 6);
+    CheckSound(fleet);
+  }
+  SECTION("but not what goes beyond the promise") {
+    fleet.Submit(urgent("claim", "owner", 3, 2s));
+    fleet.Run(1s);
+    CHECK(fleet.Running("claim") == 0);
+    CHECK(others() == 8);
+  }
+  SECTION("and a second claim waits while the first holds all of it") {
+    fleet.Submit(urgent("first", "owner", 2, 5s));
+    fleet.Submit(urgent("second", "owner", 1, 2s));
+    fleet.Run(1s);
+    CHECK(fleet.Running("first") == 2);
+    CHECK(fleet.Running("second") == 0);
+    CHECK(others() == 6);
+  }
+  SECTION("and keeps it from a team without a promise") {
+    fleet.Submit(urgent("claim", "owner", 2, 5s));
+    fleet.Run(1s);
+    fleet.Submit(urgent("late", "borrower", 1, 2s));
+    fleet.Run(1s);
+    CHECK(fleet.Running("claim") == 2);
+    CHECK(fleet.Running("late") == 0);
+  }
+}
+
+TEST_CASE("The record of a wide job fits in a row of the store") {
+  constexpr std::size_t kRowBytes = 65'536;
+  constexpr int kTasks = 1500;
+  fake_fleet fleet({});
+  accepted_job job = OneStep("wide", 1, kTasks, {500, 100, 0}, 400ms);
+  fleet.Submit(job);
+  std::size_t largest = 0;
+  for (int i = 0; i < 60 && fleet.StateOf("wide") != job_state::kComplete;
+       ++i) {
+    fleet.Run(50ms);
+    largest =
+        std::max(largest, fleet.table.Read(kRecordTable + job.id).value.size());
+  }
+  CHECK(fleet.StateOf("wide") == job_state::kComplete);
+  CHECK(fleet.starts["wide"] == kTasks);
+  CHECK(largest > kRowBytes / 4);
+  CHECK(largest <= kRowBytes);
+  CheckSound(fleet);
+
+  SECTION("and a new owner reads from it that each task is done") {
+    fleet.BeginTenure();
+    fleet.Run(1s);
+    CHECK(fleet.StateOf("wide") == job_state::kComplete);
+    CHECK(fleet.starts["wide"] == kTasks);
+  }
+}
+
 TEST_CASE("Nothing starts before its record is durable") {
   fake_fleet fleet({});
   fleet.table.is_down = true;
