--- /dev/null
+++ b/tools/entry_soak.sh
@@ -0,0 +1,86 @@
+#!/usr/bin/env bash
+# Fault soak of real entry processes: five of them against sassafras-fleet,
+# the users' platform in memory. While jobs are handed in, processes are killed
+# and started again, stopped gracefully, and paused; the store fails, minions
+# are cut off, hang and start again. Exits 0 only if no promise was broken.
+# Usage: tools/entry_soak.sh [SECONDS [SEED [FAULTS [BUILD_DIR]]]]
+# FAULTS: letters as in sassafras-fleet --help, and k kills, p pauses, t
+# graceful stops of processes. Default: all of them.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds=${1:-60}
+seed=${2:-1}
+faults=${3:-dslchorkpt}
+build=${4:-build}
+bin=$build/bin
+run=$build/entry_soak
+readonly kEntries=5 kFirstPort=24000 kStorePort=24900 kMinionPort=24100
+mkdir -p "$run"
+. tools/site_lib.sh
+trap stop_all EXIT
+RANDOM=$seed
+
+write_settings() {  # write_settings NUMBER
+  local port=$((kFirstPort + $1 * 10))
+  cat > "$run/entry-$1.yaml" <<SETTINGS
+id: entry-$1
+place: a
+callers: 127.0.0.1:$port
+readiness: 127.0.0.1:$((port + 1))
+status: 127.0.0.1:$((port + 2))
+store: 127.0.0.1:$kStorePort
+SETTINGS
+}
+
+start_entry() {  # start_entry NUMBER
+  "$bin/sassafras-entry" --config "$run/entry-$1.yaml" >> "$run/entry-$1.out" 2>> "$run/entry-$1.log" &
+  pids[entry-$1]=$!
+}
+
+# Ends or pauses one process, and has it back 1 to 3 s later.
+disturb() {  # disturb KIND
+  local number=$((RANDOM % kEntries + 1))
+  local pid=${pids[entry-$number]}
+  case $1 in
+    k) kill -KILL "$pid" ;;
+    t) kill -TERM "$pid" ;;
+    p) kill -STOP "$pid" ;;
+  esac
+  sleep $((RANDOM % 3 + 1))
+  if [ "$1" = p ]; then
+    kill -CONT "$pid"
+    return
+  fi
+  wait "$pid" 2> /dev/null || true
+  start_entry "$number"
+}
+
+rm -f "$run"/entry-*
+entries=()
+for ((i = 1; i <= kEntries; ++i)); do
+  write_settings "$i"
+  entries+=("127.0.0.1:$((kFirstPort + i * 10))")
+done
+start fleet "$bin/sassafras-fleet" --entry "${entries[@]}" --store-port $kStorePort \
+  --minion-port $kMinionPort --seconds "$seconds" --seed "$seed" --faults "${faults//[kpt]/}"
+for ((i = 1; i <= kEntries; ++i)); do
+  start_entry "$i"
+done
+kinds=${faults//[^kpt]/}
+end=$((SECONDS + seconds))
+while [ -n "$kinds" ] && [ "$SECONDS" -lt "$end" ]; do
+  sleep 2
+  disturb "${kinds:RANDOM % ${#kinds}:1}"
+done
+code=0
+wait "${pids[fleet]}" || code=$?
+unset "pids[fleet]"
+cat "$run/fleet.out" "$run/fleet.log"
+for ((i = 1; i <= kEntries; ++i)); do
+  if [ -s "$run/entry-$i.log" ]; then
+    echo "entry-$i wrote to standard error:"
+    tail -n 5 "$run/entry-$i.log"
+    code=1
+  fi
+done
+exit "$code"
