Show load, ages and who borrows, in metrics and in sassafras-ctl work

Cause: metrics lacked the ages of discovery and ownership, queue lengths and free accelerators by shape, and sassafras-ctl could not read an entry process.

--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -47,7 +47,7 @@
   std::vector<work_note> notes;
 };
 
-/// Jobs of one queue, and what one minion looks like, for status pages.
+/// What one minion looks like, for status pages.
 struct minion_status {
   std::string id;
   std::string service;
@@ -57,6 +57,28 @@
   int runs = 0;
 };
 
+/// What a team was promised and holds, in accelerators.
+struct team_use {
+  std::int64_t guaranteed = 0;
+  std::int64_t urgent = 0;  ///< Held by its jobs of priority 0.
+  std::int64_t other = 0;   ///< Held by its other jobs.
+};
+
+/// Load and room at one moment, for status pages and metrics.
+struct work_summary {
+  std::map<int, int> waiting;  ///< Units that wait for room, by priority.
+  int running = 0;             ///< Units whose starts have left.
+  int closing = 0;             ///< Units that end.
+  int minions_usable = 0;
+  int minions_unusable = 0;
+  std::int64_t free_accelerators = 0;  ///< Of usable minions.
+  /// Of those, free on minions that are free as a whole: a task that takes all
+  /// accelerators of a minion fits only there.
+  std::int64_t free_in_whole_minions = 0;
+  duration list_age{0};  ///< Since the platform's list was last read.
+  std::map<std::string, team_use> teams;
+};
+
 /// An ended job whose rows may go.
 struct expired_job {
   std::string id;
@@ -134,6 +156,8 @@
 
   std::vector<minion_status> Minions() const;
 
+  work_summary Summary(instant now) const;
+
   /// Up to `most` jobs that ended longer than the retention ago; forgets them.
   std::vector<expired_job> TakeExpired(instant now, std::size_t most);
 
--- a/programs/ctl/commands.h
+++ b/programs/ctl/commands.h
@@ -11,6 +11,8 @@
 struct ctl_options {
   std::vector<std::string> platform;  ///< "IP:port" of the platform's service.
   std::vector<std::string> gateways;  ///< "IP:port" of gateways, tried in turn.
+  std::vector<std::string> entries;   ///< Status addresses of entry processes.
+  bool prints_json = false;           ///< For scripts; of `work`.
   std::string token;                  ///< Sent as bearer token.
   std::vector<std::string> arguments;  ///< After the command's name.
 };
@@ -37,6 +39,9 @@
 /// Prints in one sentence where a job stands and, if it waits, why.
 int StatusOfJob(const ctl_options& options);
 
+/// work: what entry processes on the users' platform say.
+std::vector<ctl_command> WorkCommands();
+
 /// submit, cancel: what concerns jobs.
 std::vector<ctl_command> JobCommands();
 
--- a/programs/ctl/main.cc
+++ b/programs/ctl/main.cc
@@ -33,6 +33,10 @@
   if (values.count("gateway") > 0) {
     options.gateways = values["gateway"].as<std::vector<std::string>>();
   }
+  if (values.count("entry") > 0) {
+    options.entries = values["entry"].as<std::vector<std::string>>();
+  }
+  options.prints_json = values.count("json") > 0;
   options.token = values["token"].as<std::string>();
   for (const ctl_command& command : commands) {
     if (command.name == name) {
@@ -53,6 +57,9 @@
   for (ctl_command& command : JobCommands()) {
     commands.push_back(std::move(command));
   }
+  for (ctl_command& command : WorkCommands()) {
+    commands.push_back(std::move(command));
+  }
   commands.push_back(
       {"status",
        "[JOB]: where a job stands and why it waits; without JOB, the version "
@@ -70,6 +77,9 @@
       "IP:port of the platform's service")(
       "gateway", po::value<std::vector<std::string>>()->composing(),
       "IP:port of a gateway")(
+      "entry", po::value<std::vector<std::string>>()->composing(),
+      "IP:port of an entry process's status page")(
+      "json", "print what was answered, for scripts; of work")(
       "token", po::value<std::string>()->default_value(""), "bearer token");
   po::options_description all;
   all.add(options).add_options()("arguments",
--- /dev/null
+++ b/programs/ctl/work_commands.cc
@@ -0,0 +1,123 @@
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+
+#include "programs/ctl/blocking_ports.h"
+#include "programs/ctl/commands.h"
+
+namespace sassafras {
+namespace {
+
+using nlohmann::json;
+
+constexpr int kOk = 200;
+
+// The page `path` of the entry process at `address`, empty if it gives none.
+std::optional<json> ReadPage(blocking_ports& ports,
+                             const std::string& address,
+                             const std::string& path) {
+  http_request request;
+  request.method = "GET";
+  request.path = path;
+  const http_answer answer = ports.Call(address, request);
+  if (answer.state != answer_state::kDone || answer.response.status != kOk) {
+    std::cerr << "sassafras-ctl: " << address << " does not answer\n";
+    return std::nullopt;
+  }
+  json page = json::parse(answer.response.body, nullptr, false);
+  if (!page.is_object()) {
+    std::cerr << "sassafras-ctl: " << address << " answers no status page\n";
+    return std::nullopt;
+  }
+  return page;
+}
+
+// Asks the entry processes in turn until one says that it owns the jobs.
+std::optional<json> ReadOwnersPage(const ctl_options& options,
+                                   const std::string& path) {
+  blocking_ports ports(options.platform);
+  for (const std::string& address : options.entries) {
+    auto page = ReadPage(ports, address, path);
+    if (page && page->value("is_owner", false)) {
+      return page;
+    }
+  }
+  return std::nullopt;
+}
+
+void PrintWork(const json& page) {
+  const json& work = page.at("work");
+  std::cout << "owner " << page.value("owner", "") << ", configuration "
+            << page.at("config_version") << ", " << page.at("config_age_ms")
+            << " ms old\n";
+  std::cout << "units waiting by priority " << work.at("waiting_units").dump()
+            << ", running " << work.at("running_units") << ", ending "
+            << work.at("closing_units") << "; free accelerators "
+            << work.at("free_accelerators") << ", of these on whole minions "
+            << work.at("free_in_whole_minions") << '\n';
+  for (const json& team : work.at("teams")) {
+    const std::int64_t guaranteed = team.at("guaranteed");
+    const std::int64_t urgent = team.at("urgent");
+    const std::int64_t other = team.at("other");
+    std::cout << "team " << team.value("team", "") << ": guaranteed "
+              << guaranteed << ", urgent jobs hold " << urgent
+              << ", other jobs hold " << other;
+    if (urgent + other > guaranteed) {
+      std::cout << "; borrows " << urgent + other - guaranteed;
+    }
+    std::cout << '\n';
+  }
+  std::map<std::string, int> by_health;
+  for (const json& minion : page.at("minions")) {
+    const std::string health = minion.value("health", "");
+    ++by_health[health];
+    if (health != "usable") {
+      std::cout << "minion " << minion.value("id", "") << ": " << health
+                << ", runs " << minion.at("runs") << '\n';
+    }
+  }
+  for (const auto& [health, count] : by_health) {
+    std::cout << "minions " << health << ": " << count << '\n';
+  }
+}
+
+int ShowWork(const ctl_options& options) {
+  if (options.entries.empty() || options.arguments.size() > 1) {
+    std::cerr << "sassafras-ctl: work [JOB] needs --entry, once a process\n";
+    return kExitUsage;
+  }
+  const bool is_of_job = !options.arguments.empty();
+  const auto page = ReadOwnersPage(
+      options,
+      is_of_job ? "/v1/jobs/" + options.arguments.front() : "/v1/status");
+  if (!page) {
+    std::cerr << "sassafras-ctl: none of the processes owns the jobs\n";
+    return kExitRefused;
+  }
+  if (options.prints_json) {
+    std::cout << page->dump() << '\n';
+    return kExitOk;
+  }
+  if (!is_of_job) {
+    PrintWork(*page);
+    return kExitOk;
+  }
+  const std::string sentence = page->value("sentence", "");
+  std::cout << (sentence.empty() ? "The owner does not know this job."
+                                 : sentence)
+            << '\n';
+  return sentence.empty() ? kExitRefused : kExitOk;
+}
+
+}  // namespace
+
+std::vector<ctl_command> WorkCommands() {
+  return {{"work",
+           "[JOB]: owner, load, teams and minions of the entry processes "
+           "(--entry); with JOB, where that job stands",
+           ShowWork}};
+}
+
+}  // namespace sassafras
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -4,7 +4,6 @@
 #include <chrono>
 #include <csignal>
 #include <iostream>
-#include <nlohmann/json.hpp>
 #include <thread>
 #include <vector>
 
@@ -86,6 +85,8 @@
        [this](const table_row& row) { owner_->OnOperatorRow(row); }});
   callers_ = caller_service::Make({world_, table_, store_, *config_, settings_,
                                    counters_, metrics_, SuspendAwareNow});
+  pages_ = std::make_unique<status_pages>(settings_.id.value, metrics_,
+                                          *config_, store_, *owner_, *callers_);
   if (!Listen()) {
     return 1;
   }
@@ -131,8 +132,9 @@
       settings_.readiness,
       [this](const http_exchange& exchange) { AnswerReadiness(exchange); });
   status_server_ =
-      Serve(settings_.status,
-            [this](const http_exchange& exchange) { AnswerStatus(exchange); });
+      Serve(settings_.status, [this](const http_exchange& exchange) {
+        exchange.reply(pages_->Answer(exchange.request.path));
+      });
   return caller_server_ && ready_server_ && status_server_;
 }
 
@@ -144,45 +146,6 @@
   exchange.reply(std::move(response));
 }
 
-void entry_node::AnswerStatus(const http_exchange& exchange) {
-  constexpr std::string_view kExplainPrefix = "/v1/jobs/";
-  const std::string& path = exchange.request.path;
-  http_response response;
-  if (path == "/metrics") {
-    response.content_type = "text/plain; version=0.0.4";
-    response.body = metrics_.ToText();
-  } else if (path.starts_with(kExplainPrefix)) {
-    const std::string job = path.substr(kExplainPrefix.size());
-    response.body = nlohmann::json{{"job", job},
-                                   {"owner", owner_->LastOwner()},
-                                   {"sentence", owner_->Explain(job)}}
-                        .dump();
-  } else if (path == "/v1/status") {
-    nlohmann::json minions = nlohmann::json::array();
-    for (const sched::minion_status& row : owner_->Minions()) {
-      minions.push_back({{"id", row.id},
-                         {"service", row.service},
-                         {"health", row.health},
-                         {"runs", row.runs},
-                         {"accelerators", row.capacity.accelerators},
-                         {"accelerators_used", row.used.accelerators}});
-    }
-    const auto config = config_->Current();
-    response.body =
-        nlohmann::json{{"id", settings_.id.value},
-                       {"owner", owner_->LastOwner()},
-                       {"is_owner", owner_->IsOwner()},
-                       {"config_version", config ? config->version : 0},
-                       {"config_age_ms", config_->Age().count() / 1000},
-                       {"store_away", store_.IsAway()},
-                       {"minions", std::move(minions)}}
-            .dump();
-  } else {
-    response = ErrorResponse(Fail(error_kind::kNotFound, path));
-  }
-  exchange.reply(std::move(response));
-}
-
 void entry_node::WaitForSignals() {
   boost::system::error_code ignored;
   signals_.clear(ignored);
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -12,6 +12,7 @@
 #include "programs/entry/entry_settings.h"
 #include "programs/entry/job_owner.h"
 #include "programs/entry/outside.h"
+#include "programs/entry/status_pages.h"
 #include "programs/entry/store_watch.h"
 #include "sassafras/core/counter_table.h"
 #include "sassafras/net/http_client.h"
@@ -50,7 +51,6 @@
   void Stop();
   void FinishStop();
   void AnswerReadiness(const http_exchange& exchange);
-  void AnswerStatus(const http_exchange& exchange);
   void After(duration delay, std::function<void()> action);
 
   entry_settings settings_;
@@ -66,6 +66,7 @@
   std::shared_ptr<config_watch> config_;
   std::shared_ptr<job_owner> owner_;
   std::shared_ptr<caller_service> callers_;
+  std::unique_ptr<status_pages> pages_;
   std::shared_ptr<http_server> caller_server_;
   std::shared_ptr<http_server> ready_server_;
   std::shared_ptr<http_server> status_server_;
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -176,6 +176,19 @@
   return core_ ? core_->Minions() : std::vector<sched::minion_status>();
 }
 
+std::optional<sched::work_summary> job_owner::Summary() const {
+  const std::lock_guard lock(mutex_);
+  if (!core_) {
+    return std::nullopt;
+  }
+  return core_->Summary(program_.now());
+}
+
+duration job_owner::OwnedFor() const {
+  const std::lock_guard lock(mutex_);
+  return holds_ ? program_.now() - gained_at_ : duration(0);
+}
+
 void job_owner::OnGained(std::uint64_t epoch) {
   std::uint64_t tenure = 0;
   std::uint64_t fence = 0;
@@ -183,6 +196,7 @@
     const std::lock_guard lock(mutex_);
     tenure = ++tenure_;
     holds_ = true;
+    gained_at_ = program_.now();
     fence = epoch * kFencesPerEpoch + tenure % kFencesPerEpoch;
     core_ = std::make_unique<sched::work_core>(OptionsOf(settings_), fence,
                                                program_.now(), counters_);
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -65,6 +66,12 @@
 
   std::vector<sched::minion_status> Minions() const;
 
+  /// Load and room; empty if this process does not own the jobs.
+  std::optional<sched::work_summary> Summary() const;
+
+  /// How long this process has owned the jobs, 0 if it does not.
+  duration OwnedFor() const;
+
  private:
   // Events that come together are decided on together.
   static constexpr duration kDecisionDelay = std::chrono::milliseconds(2);
@@ -136,6 +143,7 @@
   bool holds_ = false;
   bool is_decision_due_ = false;
   sched::decision_pace pace_;
+  instant gained_at_;
   bool is_renewal_out_ = false;
   instant last_commit_;
   std::uint64_t waiting_version_ = 0;
--- /dev/null
+++ b/programs/entry/status_pages.cc
@@ -0,0 +1,143 @@
+#include "programs/entry/status_pages.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <string_view>
+#include <utility>
+
+namespace sassafras {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kJobPrefix = "/v1/jobs/";
+constexpr int kMicrosecondsPerMillisecond = 1000;
+
+double Seconds(duration value) {
+  return std::chrono::duration<double>(value).count();
+}
+
+// A process without a configuration states no age.
+json AgeMs(const config_watch& config) {
+  return config.Current()
+             ? json(config.Age().count() / kMicrosecondsPerMillisecond)
+             : json(nullptr);
+}
+
+json ToJson(const sched::work_summary& work) {
+  json waiting = json::object();
+  for (const auto& [priority, units] : work.waiting) {
+    waiting[std::to_string(priority)] = units;
+  }
+  json teams = json::array();
+  for (const auto& [name, use] : work.teams) {
+    teams.push_back({{"team", name},
+                     {"guaranteed", use.guaranteed},
+                     {"urgent", use.urgent},
+                     {"other", use.other}});
+  }
+  return {{"waiting_units", std::move(waiting)},
+          {"running_units", work.running},
+          {"closing_units", work.closing},
+          {"free_accelerators", work.free_accelerators},
+          {"free_in_whole_minions", work.free_in_whole_minions},
+          {"minion_list_age_ms",
+           work.list_age.count() / kMicrosecondsPerMillisecond},
+          {"teams", std::move(teams)}};
+}
+
+json ToJson(const sched::minion_status& row) {
+  return {{"id", row.id},
+          {"service", row.service},
+          {"health", row.health},
+          {"runs", row.runs},
+          {"accelerators", row.capacity.accelerators},
+          {"accelerators_used", row.used.accelerators}};
+}
+
+}  // namespace
+
+status_pages::status_pages(std::string id,
+                           metrics& measured,
+                           const config_watch& config,
+                           const store_watch& store,
+                           const job_owner& owner,
+                           const caller_service& callers)
+    : id_(std::move(id)),
+      measured_(measured),
+      config_(config),
+      store_(store),
+      owner_(owner),
+      callers_(callers) {}
+
+http_response status_pages::Answer(const std::string& path) const {
+  http_response response;
+  if (path == "/metrics") {
+    SetGauges();
+    response.content_type = "text/plain; version=0.0.4";
+    response.body = measured_.ToText();
+  } else if (path.starts_with(kJobPrefix)) {
+    const std::string job = path.substr(kJobPrefix.size());
+    response.body = json{{"job", job},
+                         {"owner", owner_.LastOwner()},
+                         {"is_owner", owner_.IsOwner()},
+                         {"sentence", owner_.Explain(job)}}
+                        .dump();
+  } else if (path == "/v1/status") {
+    response.body = Status();
+  } else {
+    response = ErrorResponse(Fail(error_kind::kNotFound, path));
+  }
+  return response;
+}
+
+// Gauges are states of this moment; those of the owner are 0 elsewhere.
+void status_pages::SetGauges() const {
+  const auto config = config_.Current();
+  measured_.Set("config_version",
+                config ? static_cast<double>(config->version) : 0);
+  if (config) {
+    measured_.Set("config_age_seconds", Seconds(config_.Age()));
+  }
+  measured_.Set("store_away_seconds", Seconds(store_.AwayFor()));
+  measured_.Set("calls_in_progress", callers_.InProgress());
+  measured_.Set("owns_jobs", owner_.IsOwner() ? 1 : 0);
+  measured_.Set("owned_for_seconds", Seconds(owner_.OwnedFor()));
+  const sched::work_summary work =
+      owner_.Summary().value_or(sched::work_summary());
+  measured_.Set("minion_list_age_seconds", Seconds(work.list_age));
+  measured_.Set("minions_usable", work.minions_usable);
+  measured_.Set("minions_unusable", work.minions_unusable);
+  measured_.Set("units_running", work.running);
+  measured_.Set("units_closing", work.closing);
+  for (const int priority : {0, 1, 2}) {
+    const auto it = work.waiting.find(priority);
+    measured_.Set("units_waiting_priority_" + std::to_string(priority),
+                  it == work.waiting.end() ? 0 : it->second);
+  }
+  measured_.Set("free_accelerators",
+                static_cast<double>(work.free_accelerators));
+  measured_.Set("free_accelerators_in_whole_minions",
+                static_cast<double>(work.free_in_whole_minions));
+}
+
+std::string status_pages::Status() const {
+  const auto config = config_.Current();
+  json status = {{"id", id_},
+                 {"owner", owner_.LastOwner()},
+                 {"is_owner", owner_.IsOwner()},
+                 {"config_version", config ? config->version : 0},
+                 {"config_age_ms", AgeMs(config_)},
+                 {"store_away", store_.IsAway()}};
+  if (const auto work = owner_.Summary()) {
+    json minions = json::array();
+    for (const sched::minion_status& row : owner_.Minions()) {
+      minions.push_back(ToJson(row));
+    }
+    status["minions"] = std::move(minions);
+    status["work"] = ToJson(*work);
+  }
+  return status.dump();
+}
+
+}  // namespace sassafras
--- /dev/null
+++ b/programs/entry/status_pages.h
@@ -0,0 +1,43 @@
+#ifndef SASSAFRAS_PROGRAMS_ENTRY_STATUS_PAGES_H_
+#define SASSAFRAS_PROGRAMS_ENTRY_STATUS_PAGES_H_
+
+#include <string>
+
+#include "programs/entry/caller_service.h"
+#include "programs/entry/config_watch.h"
+#include "programs/entry/job_owner.h"
+#include "programs/entry/store_watch.h"
+#include "sassafras/net/http_types.h"
+#include "sassafras/telemetry/metrics.h"
+
+namespace sassafras {
+
+/// What an entry process tells operators: /metrics in the Prometheus text
+/// format, /v1/status (owner, ages, load, teams, minions) and /v1/jobs/ID (one
+/// sentence, from the owner only). Everything it is given must outlive it.
+class status_pages {
+ public:
+  status_pages(std::string id,
+               metrics& measured,
+               const config_watch& config,
+               const store_watch& store,
+               const job_owner& owner,
+               const caller_service& callers);
+
+  http_response Answer(const std::string& path) const;
+
+ private:
+  void SetGauges() const;
+  std::string Status() const;
+
+  const std::string id_;
+  metrics& measured_;
+  const config_watch& config_;
+  const store_watch& store_;
+  const job_owner& owner_;
+  const caller_service& callers_;
+};
+
+}  // namespace sassafras
+
+#endif  // SASSAFRAS_PROGRAMS_ENTRY_STATUS_PAGES_H_
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -328,6 +328,10 @@
   return impl_->Minions();
 }
 
+work_summary work_core::Summary(instant now) const {
+  return impl_->Summary(now);
+}
+
 std::vector<expired_job> work_core::TakeExpired(instant now, std::size_t most) {
   return impl_->TakeExpired(now, most);
 }
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -45,6 +45,9 @@
   void EmitLooks(instant now);
   std::vector<minion_status> Minions() const;
 
+  // work_summary.cc
+  work_summary Summary(instant now) const;
+
   // work_runs.cc
   void TakeStartAnswer(instant now,
                        const start_order& order,
@@ -281,6 +284,7 @@
   bool should_place_ = true;
   // Set when a start was not answered; cleared once none is left to resend.
   bool has_unsure_ = false;
+  instant listed_at_;    // The platform's list was last read.
   instant next_place_;   // Without an event.
   instant place_after_;  // Not before, whatever happens.
   instant next_check_;   // Of progress.
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -74,6 +74,7 @@
     }
   }
   DropGone();
+  listed_at_ = now;
   should_place_ = true;
 }
 
--- /dev/null
+++ b/src/sched/work_summary.cc
@@ -0,0 +1,40 @@
+#include "src/sched/work_impl.h"
+
+namespace sassafras::sched {
+
+work_summary work_core::impl::Summary(instant now) const {
+  work_summary summary;
+  summary.list_age = listed_at_ == instant() ? duration(0) : now - listed_at_;
+  if (config_) {
+    for (const auto& [name, team] : config_->teams) {
+      summary.teams[name].guaranteed = team.guaranteed_accelerators;
+    }
+  }
+  for (const auto& [id, job] : open_jobs_) {
+    if (job->IsEnded()) {
+      continue;
+    }
+    summary.waiting[job->job.priority] += job->CountOf(unit_phase::kWaiting);
+    summary.running += job->CountOf(unit_phase::kActive);
+    summary.closing += job->CountOf(unit_phase::kClosing);
+    team_use& use = summary.teams[job->job.team];
+    std::int64_t& held = job->job.priority == 0 ? use.urgent : use.other;
+    for (const work_unit& unit : job->units) {
+      held += unit.members.empty() ? 0 : AcceleratorsOf(*job, unit);
+    }
+  }
+  for (const auto& [id, minion] : minions_) {
+    if (HealthOf(now, minion) != "usable") {
+      ++summary.minions_unusable;
+      continue;
+    }
+    ++summary.minions_usable;
+    const std::int64_t free =
+        (minion.report.capacity - minion.used).accelerators;
+    summary.free_accelerators += free;
+    summary.free_in_whole_minions += minion.members.empty() ? free : 0;
+  }
+  return summary;
+}
+
+}  // namespace sassafras::sched
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -218,6 +218,15 @@
     CHECK(others() == 6);
     CheckSound(fleet);
   }
+  SECTION("and operators see who holds what") {
+    const work_summary before = fleet.core->Summary(fleet.now);
+    CHECK(before.teams.at("borrower").urgent == 64);
+    CHECK(before.teams.at("owner").guaranteed == 16);
+    CHECK(before.free_accelerators == 0);
+    fleet.Submit(urgent("claim", "owner", 3, 2s));
+    fleet.Run(1s);
+    CHECK(fleet.core->Summary(fleet.now).waiting.at(0) == 1);
+  }
   SECTION("but not what goes beyond the promise") {
     fleet.Submit(urgent("claim", "owner", 3, 2s));
     fleet.Run(1s);
