Blame each minion on which a gang stands still

A gang of eight stood still on two minions at once; the first that was found ended the gang, so that the second was never avoided and got members of three more gangs (urgent jobs took 8 s and 14 s instead of 3 s). The logs did not show which members stood still.

Change: all runs that stand still are found before the first is moved, and members of the same gang that have not moved for three quarters of that time count too. The line run_stands_still has the progress of each member.

Test, failing before: "two minions of its gang stand still".

--- a/src/sched/work_progress.cc
+++ b/src/sched/work_progress.cc
@@ -1,5 +1,8 @@
 #include <algorithm>
 #include <chrono>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include "src/sched/work_impl.h"
 
@@ -19,6 +22,9 @@
 constexpr duration kStallTime = std::chrono::milliseconds(1200);
 constexpr double kStallShare = 0.2;
 constexpr int kWholePercent = 100;
+// Share of the stall time after which other members of a gang that stands
+// still are taken to stand still too: they are about to be noticed.
+constexpr double kSuspectShare = 0.75;
 // Between checks of all runs: a fraction of the shortest time after which a
 // run is taken to stand still.
 constexpr duration kCheckInterval = std::chrono::milliseconds(40);
@@ -26,6 +32,17 @@
 // seen late and lasts for seconds.
 constexpr duration kBadMinionPause = std::chrono::seconds(6);
 
+// Percent of each member, since when, and on which minion, for the log.
+std::string DescribeProgress(instant now, const work_unit& unit) {
+  std::string text;
+  for (const unit_member& member : unit.members) {
+    text += std::to_string(member.percent) + "% for " +
+            std::to_string((now - member.progressed_at).count() / 1000) +
+            " ms on " + member.life.id + "; ";
+  }
+  return text;
+}
+
 }  // namespace
 
 // Compares the progress since the last measurement with the estimate.
@@ -80,12 +97,14 @@
 }
 
 // Keeps new tasks off slow minions, and moves runs off those on which they
-// stand still.
+// stand still. All are found before the first is moved: that ends its whole
+// gang, which may stand still on several minions.
 void work_core::impl::CheckProgress(instant now) {
   if (now < next_check_) {
     return;
   }
   next_check_ = now + kCheckInterval;
+  std::vector<std::pair<std::string, run_key>> still;
   for (auto& [id, minion] : minions_) {
     if (!minion.is_answering || minion.members.empty()) {
       continue;
@@ -94,20 +113,41 @@
       AvoidMinion(now, minion, "its runs crawl", kBadMinionPause);
       minion.speed = 1;
     }
-    const auto stands_still = [](const run_key&, const member_ref& ref) {
-      return ref.unit->phase == unit_phase::kActive && StandsStill(ref);
-    };
-    for (const run_key& run : RunsWhere(minion, stands_still)) {
-      const member_ref ref = FindMember(run, id);
-      if (ref.member == nullptr || ref.unit->phase != unit_phase::kActive) {
-        continue;
+    for (const auto& [run, ref] : minion.members) {
+      if (ref.unit->phase == unit_phase::kActive && StandsStill(ref)) {
+        still.emplace_back(id, run);
       }
-      counters_.Add("sched_runs_moved");
-      AvoidMinion(now, minion, "a run stands still", kBadMinionPause);
-      ref.unit->failed_on.insert(id);
-      CloseUnit(now, *ref.job, *ref.unit, "it stands still");
     }
   }
+  for (const auto& [id, run] : still) {
+    const member_ref ref = FindMember(run, id);
+    if (ref.member != nullptr) {
+      MoveStill(now, id, ref);
+    }
+  }
+}
+
+void work_core::impl::MoveStill(instant now,
+                                const std::string& minion,
+                                const member_ref& ref) {
+  AvoidMinion(now, minions_.at(minion), "a run stands still", kBadMinionPause);
+  ref.unit->failed_on.insert(minion);
+  if (ref.unit->phase != unit_phase::kActive) {
+    return;  // Moved already, for another member.
+  }
+  counters_.Add("sched_runs_moved");
+  Note("run_stands_still", ref.job->job.id,
+       FormatRun(KeyOf(*ref.job, *ref.unit, *ref.member)), minion,
+       DescribeProgress(now, *ref.unit));
+  for (const unit_member& other : ref.unit->members) {
+    if (other.percent < kWholePercent &&
+        now - other.progressed_at > kStallTime * kSuspectShare) {
+      AvoidMinion(now, MinionOf(other.life.id), "a gang stands still there",
+                  kBadMinionPause);
+      ref.unit->failed_on.insert(other.life.id);
+    }
+  }
+  CloseUnit(now, *ref.job, *ref.unit, "it stands still");
 }
 
 }  // namespace sassafras::sched
