--- a/bench/main.cc
+++ b/bench/main.cc
@@ -7,6 +7,7 @@
 #include "bench/bench_options.h"
 #include "bench/capacity_bench.h"
 #include "bench/config_bench.h"
+#include "bench/owner_bench.h"
 #include "bench/policy_bench.h"
 #include "bench/request_bench.h"
 
@@ -27,6 +28,8 @@
 std::vector<bench_command> BenchCommands() {
   return {
       {"capacity", "state, messages and cost by size", RunCapacityBench},
+      {"owner", "decisions on the users' platform, by number of minions",
+       RunOwnerBench},
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
       {"config", "configuration, membership and leases, in virtual time",
        RunConfigBench},
