Stop urgent borrowers only when the bound on guaranteed jobs asks for it

Change: a claim takes borrowed room only when it has waited so long that the bound (reclaim_time, from the platform's bounds) leaves time for the stop, the record and the starts. Dropped with it: two members that nothing read.

--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -24,6 +24,7 @@
   duration greatest_lease{6'000'000};     ///< A minion shortens longer ones.
   duration stop_time{400'000};            ///< Longest time a stop takes.
   duration gang_timeout{3'000'000};       ///< A gang must be whole within it.
+  duration reclaim_time{2'900'000};       ///< Until a guaranteed job has begun.
   duration state_retention{150'000'000};  ///< Of rows of ended jobs.
 };
 
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -77,6 +77,7 @@
   read("greatest_lease", settings.greatest_lease);
   read("stop_time", settings.stop_time);
   read("gang_timeout", settings.gang_timeout);
+  read("reclaim_time", settings.reclaim_time);
   read("revoke_time", settings.revoke_time);
   settings.stop_grace =
       ReadSeconds(reader, "stop_grace_seconds", settings.stop_grace);
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -27,6 +27,7 @@
   duration greatest_lease{6'000'000};  ///< Of what runs on a minion.
   duration stop_time{400'000};         ///< Longest time a stop takes.
   duration gang_timeout{3'000'000};    ///< A gang must be whole within it.
+  duration reclaim_time{2'900'000};    ///< Until a guaranteed job has begun.
   duration revoke_time{5'000'000};     ///< A taken key is refused after it.
   duration stop_grace{6'000'000};      ///< From a stop signal to the kill.
   duration state_time{120'000'000};    ///< Ended jobs can be asked for.
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -40,6 +40,7 @@
   options.greatest_lease = settings.greatest_lease;
   options.stop_time = settings.stop_time;
   options.gang_timeout = settings.gang_timeout;
+  options.reclaim_time = settings.reclaim_time;
   options.state_retention = settings.state_time * 5 / 4;
   return options;
 }
--- a/src/sched/work_evicting.cc
+++ b/src/sched/work_evicting.cc
@@ -11,6 +11,9 @@
 constexpr duration kClaimTimeout = std::chrono::milliseconds(1500);
 // A pause before a given-up claim is placed anew.
 constexpr duration kClaimPause = std::chrono::milliseconds(100);
+// From the decision to stop borrowers until all tasks have begun, beside the
+// stop itself: two answers of a slow store, the orders and a look.
+constexpr duration kReclaimSlack = std::chrono::milliseconds(1100);
 // Accelerators weigh in lost work like so many cores, as the users price them.
 constexpr double kCoresPerAccelerator = 8;
 constexpr double kMillicores = 1000;
@@ -82,6 +85,16 @@
              GuaranteeOf(job.job.team);
 }
 
+// Stopping urgent runs makes their callers late: room may become free without
+// it for as long as the bound on guaranteed jobs allows.
+bool work_core::impl::MayTakeBorrowed(instant now,
+                                      const job_entry& job,
+                                      const work_unit& unit) const {
+  const duration patience =
+      options_.reclaim_time - options_.stop_time - kReclaimSlack;
+  return now - job.seen_at >= patience && IsWithinGuarantee(job, unit);
+}
+
 // Less urgent runs give way to urgent ones; urgent runs of a team that holds
 // more than it was promised give way to a team that claims its guarantee.
 bool work_core::impl::GivesWay(instant now,
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -120,10 +120,7 @@
                  job_entry& job,
                  work_unit& unit,
                  std::string_view why);
-  void EndMember(instant now,
-                 job_entry& job,
-                 work_unit& unit,
-                 unit_member& member);
+  void EndMember(job_entry& job, work_unit& unit, unit_member& member);
   void SettleUnit(instant now, job_entry& job, work_unit& unit);
   void TakeEnd(instant now,
                minion_entry& minion,
@@ -200,6 +197,9 @@
                                      const work_unit& unit);
   std::int64_t GuaranteeOf(const std::string& team) const;
   bool IsWithinGuarantee(const job_entry& job, const work_unit& unit) const;
+  bool MayTakeBorrowed(instant now,
+                       const job_entry& job,
+                       const work_unit& unit) const;
   bool GivesWay(instant now,
                 const eviction_claim& claim,
                 const job_entry& job,
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -252,7 +252,7 @@
     limits.may_evict = true;
     places = PlaceTasks(step, unit.width, views, limits);
   }
-  if (!places && IsWithinGuarantee(job, unit)) {
+  if (!places && MayTakeBorrowed(now, job, unit)) {
     claim.takes_borrowed = true;
     limits.may_leave_rack = true;
     AddEvictable(now, claim, views);
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -142,9 +142,6 @@
                                 work_unit& unit,
                                 unit_member& member) {
   minion_entry& minion = MinionOf(member.life.id);
-  if (member.sends == 0) {
-    member.first_sent = now;
-  }
   ++member.sends;
   member.phase = member_phase::kStarting;
   member.is_order_out = true;
@@ -232,7 +229,7 @@
   }
   for (unit_member& member : unit.members) {
     if (member.phase == member_phase::kPlanned) {
-      EndMember(now, job, unit, member);
+      EndMember(job, unit, member);
     } else if (MayStillRun(member) && member.phase != member_phase::kStopping) {
       member.phase = member_phase::kStopping;
       member.next_send = unit.is_done ? now + kDoneStopDelay : now;
@@ -241,8 +238,7 @@
   SettleUnit(now, job, unit);
 }
 
-void work_core::impl::EndMember(instant now,
-                                job_entry& job,
+void work_core::impl::EndMember(job_entry& job,
                                 work_unit& unit,
                                 unit_member& member) {
   CheckInvariant(member.phase != member_phase::kOver, "member_ends_once");
@@ -251,7 +247,6 @@
   DropMember(minion, {&job, &unit, &member});
   CheckInvariant(minion.used.accelerators >= 0, "room_in_use_is_not_negative");
   should_place_ = true;
-  (void)now;
 }
 
 // A closed run of which nothing can be left makes its unit free again.
@@ -281,7 +276,7 @@
   Note("member_over", ref.job->job.id,
        FormatRun(KeyOf(*ref.job, *ref.unit, *ref.member)), ref.member->life.id,
        std::string(why));
-  EndMember(now, *ref.job, *ref.unit, *ref.member);
+  EndMember(*ref.job, *ref.unit, *ref.member);
   CloseUnit(now, *ref.job, *ref.unit, why);
 }
 
@@ -293,7 +288,7 @@
   work_unit& unit = *ref.unit;
   JudgeEnd(now, minion, job.job.id, end.how);
   KeepNewer(unit.checkpoint, end.checkpoint);
-  EndMember(now, job, unit, *ref.member);
+  EndMember(job, unit, *ref.member);
   const bool is_persistent = job.job.spec.steps.at(unit.step).is_persistent;
   if (end.how == run_end::kDone && !unit.is_done && !is_persistent) {
     unit.is_done = true;
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -33,10 +33,9 @@
   member_phase phase = member_phase::kPlanned;
   int sends = 0;              ///< Starts that left.
   bool is_order_out = false;  ///< An order is under way.
-  instant first_sent;
-  instant next_send;        ///< Earliest time of the next order.
-  instant confirmed_at;     ///< The start was answered, if kRunning.
-  bool was_listed = false;  ///< Its minion has listed it, in `life`.
+  instant next_send;          ///< Earliest time of the next order.
+  instant confirmed_at;       ///< The start was answered, if kRunning.
+  bool was_listed = false;    ///< Its minion has listed it, in `life`.
   bool is_stop_acknowledged = false;
   instant stop_acknowledged_at;
   int percent = 0;        ///< Progress that the minion stated last.
