--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -1,34 +1,12 @@
 #include <catch2/catch.hpp>
 
-#include "tests/fake_fleet.h"
+#include "tests/fleet_checks.h"
 
 namespace sassafras::sched {
 namespace {
 
 using namespace std::chrono_literals;
 
-const room kSmall{10'000, 10'000, 1};
-const room kWhole{100'000, 200'000, 8};
-
-std::string Join(const std::vector<std::string>& lines) {
-  std::string text;
-  for (const std::string& line : lines) {
-    text += line + "\n";
-  }
-  return text;
-}
-
-void CheckSound(const fake_fleet& fleet) {
-  INFO(Join(fleet.violations));
-  CHECK(fleet.violations.empty());
-}
-
-accepted_job Gang(const std::string& id, int priority, int width) {
-  accepted_job job = OneStep(id, priority, width, kWhole, 2s);
-  job.spec.steps[0].is_gang = true;
-  return job;
-}
-
 TEST_CASE("A job runs to its end") {
   fake_fleet fleet({});
   fleet.Submit(OneStep("a", 1, 5, kSmall, 1s));
@@ -149,42 +127,6 @@
   }
 }
 
-TEST_CASE("A minion starts again under its id, unnoticed") {
-  fake_fleet::options options;
-  options.minions = 1;
-  options.refuses_former_orders = false;
-  fake_fleet fleet(options);
-  for (int i = 0; i < 3; ++i) {
-    fleet.Submit(OneStep("before" + std::to_string(i), 1, 1, kSmall, 200ms));
-  }
-  REQUIRE(fleet.RunUntilEnded(5s));
-  fleet.Run(1s);
-  const std::string id = fleet.minions.begin()->first;
-  fleet.Reborn(id);
-
-  SECTION("a task that then starts there is not started again once done") {
-    fleet.Submit(OneStep("a", 1, 1, kSmall, 50ms));
-    REQUIRE(fleet.RunUntilEnded(5s));
-    CHECK(fleet.StateOf("a") == job_state::kComplete);
-    CheckSound(fleet);
-  }
-  SECTION("a longer one is not started again while it may run") {
-    fleet.Submit(OneStep("a", 1, 1, kSmall, 3s));
-    REQUIRE(fleet.RunUntilEnded(15s));
-    CHECK(fleet.StateOf("a") == job_state::kComplete);
-    CheckSound(fleet);
-  }
-  SECTION("nor by a new owner") {
-    fleet.Submit(OneStep("a", 1, 1, kSmall, 2s));
-    while (fleet.Running("a") == 0) {
-      fleet.Run(5ms);
-    }
-    fleet.BeginTenure();
-    REQUIRE(fleet.RunUntilEnded(15s));
-    CheckSound(fleet);
-  }
-}
-
 TEST_CASE("Failures use up the attempts") {
   fake_fleet fleet({});
   for (auto& [id, minion] : fleet.minions) {
@@ -352,35 +294,6 @@
         job_state::kComplete);
 }
 
-TEST_CASE("A minion is cut off while it runs on") {
-  fake_fleet fleet({});
-  fleet.Submit(OneStep("a", 1, 1, kSmall, 12s));
-  fleet.Run(500ms);
-  std::string cut;
-  for (auto& [id, minion] : fleet.minions) {
-    if (!minion.running.empty()) {
-      cut = id;
-      minion.is_cut = true;
-    }
-  }
-
-  SECTION("its task starts elsewhere only after its lease has run out") {
-    fleet.Run(5s);
-    CHECK(fleet.starts["a"] == 1);
-    fleet.Run(5s);
-    CHECK(fleet.starts["a"] == 2);
-    CheckSound(fleet);
-  }
-
-  SECTION("it is found again with its task, which runs on") {
-    fleet.Run(2s);
-    fleet.minions.at(cut).is_cut = false;
-    REQUIRE(fleet.RunUntilEnded(15s));
-    CHECK(fleet.starts["a"] == 1);
-    CheckSound(fleet);
-  }
-}
-
 TEST_CASE("Another process takes the jobs over") {
   fake_fleet fleet({});
   accepted_job job = OneStep("a", 1, 4, kSmall, 3s);
@@ -424,200 +337,6 @@
   }
 }
 
-TEST_CASE("A minion that fails the tasks of several jobs gets no more") {
-  fake_fleet fleet({});
-  fleet.minions.at("minion-100").fails_all = true;
-  for (int i = 0; i < 16; ++i) {
-    fleet.Submit(OneStep("j" + std::to_string(i), 1, 1, kWhole, 300ms));
-  }
-  REQUIRE(fleet.RunUntilEnded(20s));
-  for (int i = 0; i < 16; ++i) {
-    CHECK(fleet.StateOf("j" + std::to_string(i)) == job_state::kComplete);
-  }
-}
-
-TEST_CASE("A persistent step runs until its job is cancelled") {
-  fake_fleet fleet({});
-  accepted_job job = OneStep("p", 1, 4, kSmall, 1s);
-  job.spec.steps[0].is_persistent = true;
-  job.spec.steps[0].may_miss = 1;
-  job.spec.steps[0].max_per_minion = 1;
-  fleet.Submit(job);
-  fleet.Run(2s);
-  REQUIRE(fleet.Running("p") == 4);
-
-  SECTION("failures beyond the attempts of its queue start it again") {
-    for (int i = 0; i < 5; ++i) {
-      fleet.FailRuns("p");
-      fleet.Run(2500ms);
-      CHECK(fleet.Running("p") == 4);
-    }
-    CHECK(fleet.StateOf("p") == job_state::kRunning);
-  }
-  SECTION("urgent work takes no more of its tasks than may be away") {
-    int least = 4;
-    fleet.Submit(Gang("urgent", 0, 8));
-    for (int i = 0; i < 200; ++i) {
-      fleet.Run(10ms);
-      least = std::min(least, fleet.Running("p"));
-    }
-    CHECK(least >= 3);
-  }
-  SECTION("it ends when it is cancelled") {
-    fleet.Cancel("p");
-    fleet.Run(1s);
-    CHECK(fleet.Running("p") == 0);
-    CHECK(fleet.StateOf("p") == job_state::kCancelled);
-  }
-}
-
-TEST_CASE("Fillers give way to a task that serves") {
-  fake_fleet::options options;
-  options.minions = 1;
-  fake_fleet fleet(options);
-  accepted_job serving = OneStep("serve", 1, 1, kSmall, 60s);
-  serving.spec.steps[0].is_persistent = true;
-  serving.spec.steps[0].tail_target = 100ms;
-  accepted_job filling = OneStep("fill", 2, 1, {128'000, 1000, 0}, 60s);
-  filling.spec.steps[0].is_filler = true;
-  std::int64_t disturbance =
-      2;  // Milliseconds of tail per percent of the filler.
-  fleet.load_of = [&](const fake_minion& minion, const run_key& run) {
-    if (run.task.job == "fill") {
-      return std::int64_t{0};
-    }
-    std::int64_t tail = 40;
-    for (const auto& [other, held] : minion.running) {
-      if (other.task.job == "fill") {
-        const auto pace = minion.paces.find(other);
-        tail += disturbance * (pace == minion.paces.end() ? 100 : pace->second);
-      }
-    }
-    return tail;
-  };
-  const auto pace = [&] {
-    const auto& paces = fleet.minions.begin()->second.paces;
-    return paces.empty() ? 100 : paces.begin()->second;
-  };
-  fleet.Submit(serving);
-  fleet.Submit(filling);
-
-  SECTION("it is slowed until the tail is below its target") {
-    fleet.Run(3500ms);
-    CHECK(40 + disturbance * pace() < 100);
-
-    SECTION("and gets its speed back when it disturbs no more") {
-      disturbance = 0;
-      fleet.Run(15s);
-      CHECK(pace() == 100);
-    }
-  }
-  SECTION("a filler takes no cores from the room of others") {
-    fleet.Run(1s);
-    CHECK(fleet.Running("serve") == 1);
-    CHECK(fleet.Running("fill") == 1);
-  }
-}
-
-TEST_CASE("A queue's policy names the minions of a step") {
-  fake_fleet fleet({});
-  fleet.UsePolicy();
-  fleet.Submit(OneStep("a", 1, 6, kWhole, 300ms));
-
-  SECTION("a start carries the minion's ticket") {
-    REQUIRE(fleet.RunUntilEnded(10s));
-    CHECK(fleet.StateOf("a") == job_state::kComplete);
-    CheckSound(fleet);
-  }
-  SECTION("valid tickets are used again, without asking for each task") {
-    REQUIRE(fleet.RunUntilEnded(10s));
-    CHECK(fleet.advice_calls <= 2);
-  }
-}
-
-TEST_CASE("A run does not get on") {
-  fake_fleet fleet({});
-  fleet.Submit(OneStep("a", 0, 1, kWhole, 3s));
-  fleet.Run(500ms);
-  fake_minion* bad = nullptr;
-  for (auto& [id, minion] : fleet.minions) {
-    if (!minion.running.empty()) {
-      bad = &minion;
-    }
-  }
-  REQUIRE(bad != nullptr);
-
-  SECTION("because its minion stands still: it runs elsewhere") {
-    bad->speed = 0;
-    REQUIRE(fleet.RunUntilEnded(6s));
-    CHECK(fleet.starts["a"] == 2);
-    CHECK(bad->running.empty());
-    CheckSound(fleet);
-  }
-  SECTION(
-      "because two minions of its gang stand still: neither gets it again") {
-    fleet.Submit(Gang("g", 1, 5));
-    fleet.Run(500ms);
-    REQUIRE(fleet.Running("g") == 5);
-    std::vector<fake_minion*> hung;
-    for (auto& [id, minion] : fleet.minions) {
-      const bool has_gang = !minion.running.empty() &&
-                            minion.running.begin()->first.task.job == "g";
-      if (has_gang && hung.size() < 2) {
-        hung.push_back(&minion);
-        minion.speed = 0;
-      }
-    }
-    REQUIRE(hung.size() == 2);
-    for (int i = 0; i < 100 && fleet.starts["g"] < 10; ++i) {
-      fleet.Run(50ms);
-    }
-    CHECK(fleet.starts["g"] == 10);
-    CHECK(hung[0]->running.empty());
-    CHECK(hung[1]->running.empty());
-    REQUIRE(fleet.RunUntilEnded(8s));
-    CheckSound(fleet);
-  }
-  SECTION(
-      "because its minion has become slow: it keeps the run and gets no "
-      "more") {
-    bad->speed = 0.15;
-    fleet.Run(6s);
-    CHECK(fleet.starts["a"] == 1);
-    for (int i = 0; i < 7; ++i) {
-      fleet.Submit(OneStep("b" + std::to_string(i), 0, 1, kSmall, 500ms));
-    }
-    fleet.Run(200ms);
-    CHECK(bad->running.size() == 1);
-  }
-  SECTION("a sound but slower minion keeps it") {
-    bad->speed = 0.6;
-    REQUIRE(fleet.RunUntilEnded(9s));
-    CHECK(fleet.starts["a"] == 1);
-  }
-}
-
-TEST_CASE("A minion drains") {
-  fake_fleet fleet({});
-  fleet.Submit(OneStep("long", 1, 1, kSmall, 10s));
-  fleet.Submit(OneStep("short", 1, 1, kSmall, 600ms));
-  fleet.Run(200ms);
-  std::string draining;
-  for (auto& [id, minion] : fleet.minions) {
-    if (!minion.running.empty()) {
-      draining = id;
-      minion.report.is_draining = true;
-      minion.report.drain_remaining = 2s;
-    }
-  }
-  fleet.Run(800ms);
-  CHECK(fleet.starts["short"] == 1);
-  CHECK(fleet.StateOf("short") == job_state::kComplete);
-  CHECK(fleet.starts["long"] == 2);
-  CHECK(fleet.minions.at(draining).running.empty());
-  CheckSound(fleet);
-}
-
 TEST_CASE("Whatever goes wrong, nothing runs twice and no room is exceeded") {
   const int seed = GENERATE(range(1, 25));
   fake_fleet::options options;
