--- a/bench/owner_bench.cc
+++ b/bench/owner_bench.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <map>
 #include <memory>
 #include <random>
-#include <map>
 #include <string>
 #include <utility>
 #include <vector>
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -1,6 +1,5 @@
 #include "programs/entry/entry_node.h"
 
-#include <boost/asio/steady_timer.hpp>
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -9,6 +8,7 @@
 
 #include "programs/entry/clock.h"
 #include "programs/shell/command_line.h"
+#include "sassafras/net/call_after.h"
 #include "sassafras/telemetry/log.h"
 
 namespace sassafras {
@@ -60,13 +60,7 @@
 entry_node::~entry_node() = default;
 
 void entry_node::After(duration delay, std::function<void()> action) {
-  const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-  timer->async_wait([timer, action = std::move(action)](
-                        const boost::system::error_code& code) {
-    if (!code) {
-      action();
-    }
-  });
+  CallAfter(context_, delay, std::move(action));
 }
 
 int entry_node::Run() {
--- a/programs/shell/node.cc
+++ b/programs/shell/node.cc
@@ -12,6 +12,7 @@
 #include "sassafras/cluster/membership_codec.h"
 #include "sassafras/config/config_parse.h"
 #include "sassafras/core/digest.h"
+#include "sassafras/net/call_after.h"
 #include "sassafras/telemetry/log.h"
 
 namespace sassafras {
@@ -282,13 +283,7 @@
 }
 
 void node::After(duration delay, std::function<void()> action) {
-  const auto timer = std::make_shared<asio::steady_timer>(context_, delay);
-  timer->async_wait([timer, action = std::move(action)](
-                        const boost::system::error_code& code) {
-    if (!code) {
-      action();
-    }
-  });
+  CallAfter(context_, delay, std::move(action));
 }
 
 config_ptr node::Config() const {
