--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -167,7 +167,7 @@
 }
 
 TEST_CASE("A team claims what it was promised") {
-  const duration kReclaimTime = work_options().reclaim_time;
+  const duration reclaim_time = work_options().reclaim_time;
   fake_fleet fleet({});
   fleet.Promise("owner", 16);
   const auto urgent = [](const std::string& id, const std::string& team,
@@ -194,7 +194,7 @@
     fleet.Submit(urgent("claim", "owner", 2, 2s));
     fleet.Run(1s);
     CHECK(others() == 8);
-    fleet.Run(kReclaimTime - 1s);
+    fleet.Run(reclaim_time - 1s);
     CHECK(fleet.Running("claim") == 2);
     CHECK(others() == 6);
     CheckSound(fleet);
@@ -217,23 +217,23 @@
   }
   SECTION("but not what goes beyond the promise") {
     fleet.Submit(urgent("claim", "owner", 3, 2s));
-    fleet.Run(kReclaimTime);
+    fleet.Run(reclaim_time);
     CHECK(fleet.Running("claim") == 0);
     CHECK(others() == 8);
   }
   SECTION("and a second claim waits while the first holds all of it") {
     fleet.Submit(urgent("first", "owner", 2, 5s));
     fleet.Submit(urgent("second", "owner", 1, 2s));
-    fleet.Run(kReclaimTime);
+    fleet.Run(reclaim_time);
     CHECK(fleet.Running("first") == 2);
     CHECK(fleet.Running("second") == 0);
     CHECK(others() == 6);
   }
   SECTION("and keeps it from a team without a promise") {
     fleet.Submit(urgent("claim", "owner", 2, 5s));
-    fleet.Run(kReclaimTime);
+    fleet.Run(reclaim_time);
     fleet.Submit(urgent("late", "borrower", 1, 2s));
-    fleet.Run(kReclaimTime);
+    fleet.Run(reclaim_time);
     CHECK(fleet.Running("claim") == 2);
     CHECK(fleet.Running("late") == 0);
   }
