Keep accepted jobs in sixteen parts of their table

Cause: the store commits transactions on one part one after another, and all rows were in one part.

Change: a job's row and its cancellation are in a part chosen by the job's id; records and the lease stay in the part without a name. Expired jobs are erased in two transactions, the job before its record.

--- a/include/sassafras/net/table_port.h
+++ b/include/sassafras/net/table_port.h
@@ -62,7 +62,11 @@
   std::uint64_t store_version = 0;  ///< `after` of the next poll, if kDone.
 };
 
-/// The platform's transactional table service. Each function calls `done`
+/// The platform's transactional table service. A key is "TABLE/NAME", or
+/// "TABLE:PART/NAME" for a row in a part of the table. The service commits the
+/// transactions on one part one after another, those on different parts
+/// concurrently. A transaction may span parts, which takes it longer.
+/// Each function calls `done`
 /// exactly once, after an unbounded delay, on any thread of the process.
 struct table_port {
   /// Commits `transaction` if every expected version matches.
@@ -76,7 +80,7 @@
       read;
 
   /// Reads up to `limit` rows whose keys begin with `prefix` and are greater
-  /// than `after`, in key order.
+  /// than `after`, in key order. Covers the one part that `prefix` names.
   std::function<void(std::string prefix,
                      std::string after,
                      std::size_t limit,
@@ -84,7 +88,8 @@
       scan;
 
   /// Long poll of the change feed: waits up to `wait` for changes after version
-  /// `after` of rows whose keys begin with `prefix`. Empty if not supported.
+  /// `after` of the rows of the table that `prefix` names, in all its parts.
+  /// Empty if not supported.
   std::function<void(std::string prefix,
                      std::uint64_t after,
                      duration wait,
--- a/include/sassafras/net/table_scan.h
+++ b/include/sassafras/net/table_scan.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <string>
+#include <vector>
 
 #include "sassafras/net/table_port.h"
 
@@ -17,6 +18,13 @@
              const std::string& prefix,
              std::function<void(read_answer)> done);
 
+/// Like ScanAll(), for the rows under each of `prefixes`, which are scanned
+/// concurrently. On success `store_version` is the lowest of all scans; rows
+/// are in no particular order.
+void ScanPrefixes(const table_port& table,
+                  const std::vector<std::string>& prefixes,
+                  const std::function<void(read_answer)>& done);
+
 }  // namespace sassafras
 
 #endif  // SASSAFRAS_NET_TABLE_SCAN_H_
--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -12,19 +12,29 @@
 
 namespace sassafras::sched {
 
-/// Table of the store with accepted jobs. In this table and the next, a row's
-/// key is the name of the table followed by the job's id.
+/// Table of the store with accepted jobs, in kJobParts parts. The store commits
+/// the transactions on one part one after another; with several parts, callers
+/// do not wait for each other's commits, nor the owner of the jobs for theirs,
+/// while the store is slow. Use as a prefix to follow the changes of all parts.
 inline constexpr char kJobTable[] = "jobs/";
+inline constexpr int kJobParts = 16;
+
+/// Prefix of the keys of the jobs in part `part`, from 0 to kJobParts - 1.
+std::string JobPartPrefix(int part);
 
-/// Table of the store with the progress of jobs, one job_record each.
+/// Key of the row of job `id`.
+std::string JobKey(const std::string& id);
+
+/// Table of the store with the progress of jobs, one job_record each. A row's
+/// key is the name of the table followed by the job's id.
 inline constexpr char kRecordTable[] = "records/";
 
 /// Key of the row with the number of waiting jobs by queue. The owner of the
 /// jobs writes it.
 inline constexpr char kWaitingCountsKey[] = "queues/waiting";
 
-/// Key of the row that cancels job `id`. It is in the table of jobs, so that
-/// one change feed delivers both.
+/// Key of the row that cancels job `id`. It is in the same table and part as
+/// the job's, so that one change feed delivers both.
 std::string CancelKey(const std::string& id);
 
 /// Id of the job that the row under `key` cancels; empty if `key` is not a
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -253,7 +253,7 @@
 
 void caller_service::ReadAcceptedJob(const std::string& id,
                                      const reply& answer) {
-  deps_.table.read({sched::kJobTable + id}, [self = shared_from_this(),
+  deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(),
                                              answer](const read_answer& read) {
     if (read.state != answer_state::kDone) {
       answer(self->MakeRefusal(error_kind::kStoreUnavailable,
@@ -270,7 +270,7 @@
 }
 
 void caller_service::CancelJob(const std::string& id, const reply& answer) {
-  deps_.table.read({sched::kJobTable + id}, [self = shared_from_this(), id,
+  deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(), id,
                                              answer](const read_answer& read) {
     if (read.state != answer_state::kDone) {
       answer(self->MakeRefusal(error_kind::kStoreUnavailable,
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -109,7 +109,7 @@
   void OnLost();
   void LoadJobs(std::uint64_t tenure);
   void LoadTable(std::uint64_t tenure,
-                 const std::string& prefix,
+                 const std::vector<std::string>& prefixes,
                  std::function<void(const read_answer&)> done);
   bool IsCurrentTenure(std::uint64_t tenure) const;
   void OnJobsLoaded(std::uint64_t tenure,
@@ -123,6 +123,7 @@
   void ApplyMinionRows(std::uint64_t tenure, const read_answer& answer);
   void PublishWaitingCounts(std::uint64_t tenure);
   void EraseExpiredJobs(std::uint64_t tenure);
+  void EraseRecord(const sched::expired_job& job);
   void DecideUpkeep(std::uint64_t tenure);
   void SendUpkeepOrder(std::uint64_t tenure, const sched::upkeep_order& order);
   void ListMachines(std::uint64_t tenure);
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -21,40 +21,51 @@
 constexpr duration kExpiryInterval = 10s;
 constexpr std::size_t kMaxErasedPerCommit = 30;
 
+// Prefixes of the rows of all jobs.
+std::vector<std::string> JobPrefixes() {
+  std::vector<std::string> prefixes;
+  for (int part = 0; part < sched::kJobParts; ++part) {
+    prefixes.push_back(sched::JobPartPrefix(part));
+  }
+  return prefixes;
+}
+
 }  // namespace
 
 // Reads the records and then the jobs. Only the owner writes records, so that
 // none changes between the two reads.
 void job_owner::LoadJobs(std::uint64_t tenure) {
-  LoadTable(tenure, sched::kRecordTable,
+  LoadTable(tenure, {sched::kRecordTable},
             [self = shared_from_this(), tenure](const read_answer& records) {
-              self->LoadTable(tenure, sched::kJobTable,
+              self->LoadTable(tenure, JobPrefixes(),
                               [self, tenure, records](const read_answer& jobs) {
                                 self->OnJobsLoaded(tenure, records, jobs);
                               });
             });
 }
 
-// Scans a table, with retries until it succeeds or the tenure has ended.
+// Scans the rows under the prefixes, with retries until it succeeds or the
+// tenure has ended.
 void job_owner::LoadTable(std::uint64_t tenure,
-                          const std::string& prefix,
+                          const std::vector<std::string>& prefixes,
                           std::function<void(const read_answer&)> done) {
-  ScanAll(table_, prefix,
-          [self = shared_from_this(), tenure, prefix,
-           done = std::move(done)](const read_answer& answer) {
-            if (!self->IsCurrentTenure(tenure)) {
-              return;
-            }
-            if (answer.state == answer_state::kDone) {
-              done(answer);
-              return;
-            }
-            self->counters_.Add("owner_load_failed");
-            LogEvent("owner_load_failed", {{"table", prefix}});
-            self->hooks_.after(kRetryDelay, [self, tenure, prefix, done] {
-              self->LoadTable(tenure, prefix, done);
-            });
-          });
+  ScanPrefixes(table_, prefixes,
+               [self = shared_from_this(), tenure, prefixes,
+                done = std::move(done)](const read_answer& answer) {
+                 if (!self->IsCurrentTenure(tenure)) {
+                   return;
+                 }
+                 if (answer.state == answer_state::kDone) {
+                   done(answer);
+                   return;
+                 }
+                 self->counters_.Add("owner_load_failed");
+                 LogEvent("owner_load_failed", {{"table", prefixes.front()}});
+                 self->hooks_.after(kRetryDelay,
+                                    [self, tenure, prefixes, done] {
+                                      self->LoadTable(tenure, prefixes, done);
+                                    });
+               });
 }
 
 bool job_owner::IsCurrentTenure(std::uint64_t tenure) const {
@@ -169,7 +180,7 @@
 // Scans the jobs again after the store has discarded the history that the
 // change feed needs. The core ignores jobs that it already has.
 void job_owner::ReloadJobs(std::uint64_t tenure) {
-  LoadTable(tenure, sched::kJobTable,
+  LoadTable(tenure, JobPrefixes(),
             [self = shared_from_this(), tenure](const read_answer& jobs) {
               {
                 const std::lock_guard lock(self->mutex_);
@@ -258,8 +269,9 @@
                  });
 }
 
-// Erases the rows of jobs that ended longer ago than the retention time: job,
-// cancellation mark and record of one job in one transaction.
+// Erases the rows of jobs that ended longer ago than the retention time. The
+// job is erased before its record, because a job without a record would run
+// again.
 void job_owner::EraseExpiredJobs(std::uint64_t tenure) {
   std::vector<sched::expired_job> expired;
   {
@@ -271,26 +283,34 @@
   }
   for (const sched::expired_job& job : expired) {
     table_transaction erased;
-    erased.push_back(
-        {sched::kJobTable + job.id, job.accepted_version, "", true});
-    if (job.record_version != 0) {
-      erased.push_back(
-          {sched::kRecordTable + job.id, job.record_version, "", true});
-    }
+    erased.push_back({sched::JobKey(job.id), job.accepted_version, "", true});
     if (job.cancel_version != 0) {
       erased.push_back(
           {sched::CancelKey(job.id), job.cancel_version, "", true});
     }
-    lease_->Commit(std::move(erased),
-                   [self = shared_from_this()](const commit_answer& answer) {
-                     self->counters_.Add(answer.state == answer_state::kDone
-                                             ? "expired_jobs_erased"
-                                             : "expired_jobs_not_erased");
-                   });
+    table_.commit(std::move(erased), [self = shared_from_this(),
+                                      job](const commit_answer& answer) {
+      if (answer.state != answer_state::kDone) {
+        self->counters_.Add("expired_jobs_not_erased");
+      } else if (job.record_version == 0) {
+        self->counters_.Add("expired_jobs_erased");
+      } else {
+        self->EraseRecord(job);
+      }
+    });
   }
   hooks_.after(kExpiryInterval, [self = shared_from_this(), tenure] {
     self->EraseExpiredJobs(tenure);
   });
 }
 
+void job_owner::EraseRecord(const sched::expired_job& job) {
+  lease_->Commit({{sched::kRecordTable + job.id, job.record_version, "", true}},
+                 [self = shared_from_this()](const commit_answer& answer) {
+                   self->counters_.Add(answer.state == answer_state::kDone
+                                           ? "expired_jobs_erased"
+                                           : "expired_jobs_not_erased");
+                 });
+}
+
 }  // namespace sassafras
--- a/src/sched/acceptance.cc
+++ b/src/sched/acceptance.cc
@@ -24,7 +24,7 @@
 }
 
 acceptance::acceptance(accepted_job job)
-    : job_(std::move(job)), key_(kJobTable + job_.id) {}
+    : job_(std::move(job)), key_(JobKey(job_.id)) {}
 
 table_transaction acceptance::Begin() {
   return Submit(0);
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -1,6 +1,7 @@
 #include "sassafras/sched/job_codec.h"
 
 #include <nlohmann/json.hpp>
+#include <numeric>
 
 namespace sassafras::sched {
 namespace {
@@ -9,6 +10,8 @@
 
 constexpr int kRowFormat = 1;
 constexpr std::string_view kCancelSuffix = ".cancel";
+// kJobTable without the slash; parts are named after it.
+constexpr std::string_view kJobTableName = "jobs";
 
 json ToJson(const step_spec& step) {
   json document = {{"count", step.count},
@@ -183,17 +186,31 @@
   }
 }
 
+std::string JobPartPrefix(int part) {
+  return std::string(kJobTableName) + ":" + std::to_string(part) + "/";
+}
+
+// The digits of ids are random, so that their sum spreads jobs evenly.
+std::string JobKey(const std::string& id) {
+  const int sum =
+      std::accumulate(id.begin(), id.end(), 0, [](int total, char digit) {
+        return total + static_cast<unsigned char>(digit);
+      });
+  return JobPartPrefix(sum % kJobParts) + id;
+}
+
 std::string CancelKey(const std::string& id) {
-  return kJobTable + id + std::string(kCancelSuffix);
+  return JobKey(id) + std::string(kCancelSuffix);
 }
 
 std::string CancelledId(const std::string& key) {
-  const std::string_view prefix = kJobTable;
-  if (!key.starts_with(prefix) || !key.ends_with(kCancelSuffix)) {
+  const std::size_t slash = key.find('/');
+  if (slash == std::string::npos || !key.starts_with(kJobTableName) ||
+      !key.ends_with(kCancelSuffix)) {
     return {};
   }
-  return key.substr(prefix.size(),
-                    key.size() - prefix.size() - kCancelSuffix.size());
+  const std::size_t begin = slash + 1;
+  return key.substr(begin, key.size() - begin - kCancelSuffix.size());
 }
 
 std::string EncodeWaitingCounts(const std::map<std::string, int>& waiting) {
--- a/tests/acceptance_test.cc
+++ b/tests/acceptance_test.cc
@@ -1,4 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <chrono>
+#include <iomanip>
+#include <map>
+#include <random>
+#include <sstream>
 
 #include "sassafras/sched/acceptance.h"
 #include "sassafras/sched/caller.h"
@@ -7,6 +13,8 @@
 namespace sassafras::sched {
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::string kId = "5c0e7a21d94b36f8";
 const commit_answer kAnswerLost{answer_state::kUnknown,
                                 error_kind::kStoreUnknown,
@@ -33,7 +41,7 @@
 }
 
 bool IsStored(const fake_table& table) {
-  const table_row row = table.Read(kJobTable + kId);
+  const table_row row = table.Read(JobKey(kId));
   return row.version != 0 && !DecodeJobRow(row.value).value().is_refusal;
 }
 
@@ -45,11 +53,11 @@
   CHECK(IsStored(table));
 
   SECTION("and a second submission of the same id does not write it again") {
-    const std::uint64_t version = table.Read(kJobTable + kId).version;
+    const std::uint64_t version = table.Read(JobKey(kId)).version;
     acceptance resubmission(Job());
     CHECK(Finish(resubmission, table, resubmission.Begin()) ==
           acceptance_result::kAccepted);
-    CHECK(table.Read(kJobTable + kId).version == version);
+    CHECK(table.Read(JobKey(kId)).version == version);
   }
 }
 
@@ -99,6 +107,64 @@
   }
 }
 
+// A store that commits the transactions on one part one after another and
+// refuses those that would wait for more than a second.
+class serial_store {
+ public:
+  explicit serial_store(duration commit_time) : commit_time_(commit_time) {}
+
+  // Returns when a transaction sent at `now` is answered; empty: refused.
+  std::optional<instant> Commit(instant now,
+                                const table_transaction& transaction) {
+    const std::string& key = transaction.front().key;
+    instant& free_at = free_at_[key.substr(0, key.find('/'))];
+    if (free_at > now + 1s) {
+      return std::nullopt;
+    }
+    free_at = std::max(free_at, now) + commit_time_;
+    return free_at;
+  }
+
+ private:
+  const duration commit_time_;
+  std::map<std::string, instant> free_at_;
+};
+
+TEST_CASE("Callers submit twelve jobs a second while a commit takes 0.3 s") {
+  serial_store store(300ms);
+  std::mt19937_64 random(7);
+  int accepted = 0;
+  duration longest{0};
+  constexpr int kJobs = 120;
+  for (int i = 0; i < kJobs; ++i) {
+    const instant now = instant(1h) + i * 1000ms / 12;
+    std::ostringstream id;
+    id << std::hex << std::setw(16) << std::setfill('0') << random();
+    accepted_job job = Job();
+    job.id = id.str();
+    if (const auto answered = store.Commit(now, acceptance(job).Begin())) {
+      ++accepted;
+      longest = std::max(longest, *answered - now);
+    }
+  }
+
+  SECTION("nearly all are accepted, within half of their deadline of 3 s") {
+    CHECK(accepted >= kJobs * 95 / 100);
+    CHECK(longest <= 1500ms);
+  }
+  SECTION("the owner's records wait for none of them") {
+    const instant now = instant(1h) + 5s;
+    const table_transaction record = {{kRecordTable + kId, 0, "{}"}};
+    CHECK(store.Commit(now, record) == now + 300ms);
+  }
+  SECTION("the cancellation of a job is in the part of the job") {
+    const std::string key = JobKey(kId);
+    CHECK(CancelKey(kId).starts_with(key));
+    CHECK(CancelledId(CancelKey(kId)) == kId);
+    CHECK(CancelledId(key).empty());
+  }
+}
+
 TEST_CASE("Job id has 16 hexadecimal digits") {
   CHECK(IsJobId(kId));
   CHECK_FALSE(IsJobId("5c0e7a21d94b36f"));
--- a/tests/table_scan_test.cc
+++ b/tests/table_scan_test.cc
@@ -31,6 +31,23 @@
             "minions/" + std::to_string(10'000 + i));
     }
   }
+  SECTION("scans of several prefixes are combined") {
+    ScanPrefixes(port, {"minions/", "minionsbeside/"}, store_answer);
+    REQUIRE(scanned);
+    CHECK(static_cast<int>(scanned->rows.size()) == count + 1);
+
+    SECTION("and one that fails fails them all") {
+      port.scan = [&](const std::string& prefix, const std::string& after,
+                      std::size_t limit,
+                      const std::function<void(read_answer)>& done) {
+        table.is_down = prefix == "minionsbeside/";
+        done(table.Scan(prefix, after, limit));
+      };
+      ScanPrefixes(port, {"minions/", "minionsbeside/"}, store_answer);
+      CHECK(scanned->state == answer_state::kNotDone);
+      CHECK(scanned->rows.empty());
+    }
+  }
   SECTION("following from the result misses no change made during the scan") {
     const std::uint64_t before = table.Scan("", "", 1).store_version;
     port.scan = [&](const std::string& prefix, const std::string& after,
