Suspend a tenure while a renewal is late, and take a released lease at once

A released lease was taken by the second read that showed it: 0.65 s after a graceful stop.

Change: a process that still holds the lease row keeps its state, decides and sends nothing, and goes on where it was once a renewal without a read succeeds in the same epoch. The first read that shows a released lease suffices, because its write is conditional.

--- a/include/sassafras/cluster/lease.h
+++ b/include/sassafras/cluster/lease.h
@@ -71,6 +71,15 @@
   /// more than the margin remains of it.
   bool MayAct(instant now) const;
 
+  /// Whether the row still names this process as holder, as far as it knows,
+  /// although its term may have passed. Once false, another process may have
+  /// held the lease meanwhile.
+  bool IsHeld() const { return is_held_; }
+
+  /// Whether the term has passed and a transaction with Guard() can renew the
+  /// lease without a read of the row before it.
+  bool CanRenewUnread(instant now) const;
+
   /// Epoch of the lease, which grows with each change of holder. Valid while
   /// MayAct().
   std::uint64_t Epoch() const { return epoch_; }
@@ -130,6 +139,7 @@
   bool IsOwn(const row_state& state) const;
   bool IsStale(const table_row& row, const row_state& state, instant now) const;
   bool CanAcquire(instant sent, const table_row& row) const;
+  duration AcquireWait(const table_row& row) const;
   bool IsFromEarlierIncarnation(const row_state& state) const;
   duration CurrentTerm() const;
   duration NextContenderReadDelay(instant now);
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -113,6 +113,7 @@
 
 void job_owner::Tick() {
   lease_->Tick();
+  EndTenureIfSuperseded();
   RenewLease();
   hooks_.after(lease_keeper::kTickInterval, [weak = weak_from_this()] {
     if (const auto alive = weak.lock()) {
@@ -166,6 +167,7 @@
 
 void job_owner::Stop(std::function<void()> done) {
   OnLost();
+  EndTenure();
   lease_->Stop(std::move(done));
 }
 
@@ -180,17 +182,17 @@
 
 std::string job_owner::Explain(const std::string& job) const {
   const std::lock_guard lock(mutex_);
-  return core_ ? core_->Explain(job) : std::string();
+  return is_owner_ ? core_->Explain(job) : std::string();
 }
 
 std::vector<sched::minion_status> job_owner::Minions() const {
   const std::lock_guard lock(mutex_);
-  return core_ ? core_->Minions() : std::vector<sched::minion_status>();
+  return is_owner_ ? core_->Minions() : std::vector<sched::minion_status>();
 }
 
 std::optional<sched::work_summary> job_owner::Summary() const {
   const std::lock_guard lock(mutex_);
-  if (!core_) {
+  if (!is_owner_) {
     return std::nullopt;
   }
   return core_->Summary(hooks_.now());
@@ -202,11 +204,15 @@
 }
 
 void job_owner::OnGained(std::uint64_t epoch) {
+  if (ResumeTenure(epoch)) {
+    return;
+  }
   std::uint64_t tenure = 0;
   std::uint64_t fence = 0;
   {
     const std::lock_guard lock(mutex_);
     tenure = ++tenure_;
+    epoch_ = epoch;
     is_owner_ = true;
     gained_at_ = hooks_.now();
     has_sent_poll_ = false;
@@ -229,6 +235,25 @@
   LoadJobs(tenure);
 }
 
+// Continues the suspended tenure if no other process has held the lease since:
+// a change of holder would have raised the epoch. Rows that this process wrote
+// or follows are then still current, and its fencing token is the highest.
+bool job_owner::ResumeTenure(std::uint64_t epoch) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!core_ || is_owner_ || epoch_ != epoch) {
+      return false;
+    }
+    is_owner_ = true;
+  }
+  counters_.Add("ownership_resumed");
+  LogEvent("ownership_resumed", {{"epoch", std::to_string(epoch)}});
+  ScheduleDecision(duration(0));
+  return true;
+}
+
+// A late renewal only suspends the tenure: no decision is made, but answers are
+// still processed, so that it can be resumed.
 void job_owner::OnLost() {
   {
     const std::lock_guard lock(mutex_);
@@ -236,11 +261,26 @@
       return;
     }
     is_owner_ = false;
-    core_.reset();
-    upkeep_.reset();
   }
   counters_.Add("ownership_lost");
   LogEvent("ownership_lost", {});
+  EndTenureIfSuperseded();
+}
+
+void job_owner::EndTenureIfSuperseded() {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!core_ || is_owner_ || lease_->IsHeld()) {
+      return;
+    }
+  }
+  EndTenure();
+}
+
+void job_owner::EndTenure() {
+  const std::lock_guard lock(mutex_);
+  core_.reset();
+  upkeep_.reset();
 }
 
 }  // namespace sassafras
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -24,7 +24,9 @@
 /// Contends for the ownership of the jobs and, while this process is the owner,
 /// carries out the decisions of work_core and upkeep_core. A period of
 /// ownership is called a tenure; answers to calls of an earlier tenure are
-/// ignored.
+/// ignored. While a renewal of the lease is late, the tenure is suspended: the
+/// process makes no decision, sends no order and is no owner, but it keeps its
+/// state until it owns the jobs again or another process does.
 ///
 /// Safe to use from several threads. Its lock is acquired before those of the
 /// lease and of the counters. No port is called with it held.
@@ -107,6 +109,9 @@
   void RenewLease();
   void OnGained(std::uint64_t epoch);
   void OnLost();
+  bool ResumeTenure(std::uint64_t epoch);
+  void EndTenureIfSuperseded();
+  void EndTenure();
   void LoadJobs(std::uint64_t tenure);
   void LoadTable(std::uint64_t tenure,
                  const std::vector<std::string>& prefixes,
@@ -164,6 +169,8 @@
   bool is_machine_list_pending_ = false;
   sched::service_config_ptr config_;
   std::uint64_t tenure_ = 0;  // Number of the last tenure; 0: none yet.
+  std::uint64_t epoch_ = 0;   // Epoch of the lease in that tenure.
+  // Whether this process may act. False with a core: the tenure is suspended.
   bool is_owner_ = false;
   bool is_decision_scheduled_ = false;
   sched::decision_pace pace_;
--- a/programs/entry/job_owner_orders.cc
+++ b/programs/entry/job_owner_orders.cc
@@ -80,7 +80,7 @@
   {
     const std::lock_guard lock(mutex_);
     is_decision_scheduled_ = false;
-    if (!core_) {
+    if (!core_ || !is_owner_) {
       return;
     }
     tenure = tenure_;
--- a/programs/shell/lease_keeper.cc
+++ b/programs/shell/lease_keeper.cc
@@ -32,6 +32,11 @@
   return lease_.MayAct(hooks_.now());
 }
 
+bool lease_keeper::IsHeld() const {
+  const std::lock_guard lock(mutex_);
+  return lease_.IsHeld();
+}
+
 std::uint64_t lease_keeper::Epoch() const {
   const std::lock_guard lock(mutex_);
   return lease_.Epoch();
@@ -78,8 +83,14 @@
   if (permission == read_permission::kAllowed && !is_stopping_ &&
       lease_.IsReadDue(now)) {
     is_operation_in_flight_ = true;
+    const bool can_renew = lease_.CanRenewUnread(now);
     lock.unlock();
-    SendRead(now);
+    if (can_renew) {
+      counters_.Add("lease_renewed_after_expiry");
+      SendGuardedCommit(now, {{}, [](const commit_answer& /*answer*/) {}});
+    } else {
+      SendRead(now);
+    }
     return;
   }
   if (!pending_commits_.empty()) {
--- a/programs/shell/lease_keeper.h
+++ b/programs/shell/lease_keeper.h
@@ -43,6 +43,10 @@
   /// has an effect outside this process.
   bool MayAct() const;
 
+  /// Whether no other process can have held the lease since this one gained it,
+  /// as far as known. May be true while MayAct() is false: a renewal is late.
+  bool IsHeld() const;
+
   /// Returns the epoch of the lease, which grows with each change of holder.
   /// Valid while MayAct() is true.
   std::uint64_t Epoch() const;
--- a/src/cluster/lease.cc
+++ b/src/cluster/lease.cc
@@ -54,7 +54,8 @@
 }
 
 bool lease::IsReadDue(instant now) const {
-  return !is_closed_ && now >= next_read_;
+  const bool has_expired = is_held_ && !MayAct(now);
+  return !is_closed_ && (has_expired || now >= next_read_);
 }
 
 std::optional<table_write> lease::OnRow(instant sent,
@@ -87,10 +88,7 @@
   if (ShouldRequestHandover(now)) {
     return RequestHandover(now, row, state);
   }
-  // Earliest time at which the row may have been unchanged for a full term.
-  const instant earliest_acquire = unchanged_since_ +
-                                   std::max(options_.term, seen_.term) +
-                                   options_.acquire_delay;
+  const instant earliest_acquire = unchanged_since_ + AcquireWait(row);
   if (earliest_acquire > now) {
     next_read_ = std::min(next_read_, earliest_acquire);
   }
@@ -145,7 +143,8 @@
       seen_ = Decode(row_value_);
       seen_version_ = row->version;
       valid_until_ = sent + guard_term_;
-      next_read_ = now + options_.term / kRenewalsPerTerm;
+      // An answer that comes too late is followed by another renewal at once.
+      next_read_ = MayAct(now) ? now + options_.term / kRenewalsPerTerm : now;
     }
     return;
   }
@@ -160,6 +159,11 @@
   return is_held_ && std::max(now, last_now_) + options_.margin < valid_until_;
 }
 
+bool lease::CanRenewUnread(instant now) const {
+  return is_held_ && !MayAct(now) && !should_adopt_next_row_ &&
+         unresolved_writes_.empty();
+}
+
 // GUARDED in models/placement.pml: a transaction with this write takes effect
 // only if the lease row is unchanged, so not after another process has acquired
 // the lease.
@@ -268,10 +272,18 @@
   if (row.version != 0 && IsFromEarlierIncarnation(seen_)) {
     return true;
   }
+  // The first read that shows a free lease suffices, since the row cannot be
+  // acquired twice at the same version.
+  const duration wait = AcquireWait(row);
+  return wait == duration(0) || sent - unchanged_since_ >= wait;
+}
+
+// Time for which the row must have been unchanged before it can be acquired.
+duration lease::AcquireWait(const table_row& row) const {
   const bool is_free = row.version == 0 || seen_.is_released;
   const duration term =
       is_free ? duration(0) : std::max(options_.term, seen_.term);
-  return sent - unchanged_since_ >= term + options_.acquire_delay;
+  return term + options_.acquire_delay;
 }
 
 // Whether the lease can be acquired before its term has passed. The earlier
--- a/tests/lease_test.cc
+++ b/tests/lease_test.cc
@@ -102,6 +102,11 @@
     CHECK(second.Step(table, At(200)));
     CHECK(second.object.Epoch() == 2);
   }
+  SECTION("a released lease is acquired by the first read that shows it") {
+    table.Commit({*first.object.Release(At(100))});
+    second.answer_time = milliseconds(5);
+    CHECK(second.Step(table, At(200)));
+  }
   SECTION("a restarted process waits a full term") {
     contender again("s1", "c");
     CHECK_FALSE(again.Step(table, At(100)));
@@ -441,6 +446,25 @@
     keeper->Tick();
     CHECK(events.back() == "lost");
   }
+  SECTION("a late renewal is followed by one without a read, same epoch") {
+    now = At(2'600);
+    keeper->Tick();
+    CHECK(events == std::vector<std::string>{"gained 1", "lost", "gained 1"});
+    CHECK(counters.Get("lease_renewed_after_expiry") == 1);
+    CHECK(keeper->MayAct());
+  }
+  SECTION("a holder that is replaced meanwhile no longer holds the lease") {
+    contender second("s2", "b");
+    second.Step(table, At(0));
+    REQUIRE(second.Step(table, At(3'000)));
+    now = At(3'100);
+    CHECK(keeper->IsHeld());
+    CHECK_FALSE(keeper->MayAct());
+    keeper->Tick();
+    CHECK_FALSE(keeper->IsHeld());
+    CHECK(events.back() == "lost");
+    CHECK(second.object.MayAct(At(3'100)));
+  }
   SECTION("the loss is reported before the lease is released for a hand-over") {
     lease_options options = Options("s2", "b");
     options.capacity = 1;
