Start nothing in data centres that the operator has evacuated

Change: each process keeps the evacuated data centres with the age of that belief; the owner starts nothing there, closes what is placed there but not sent, sends no start again, and starts nothing at all once the belief is older than the bound less 1.2 s. Stale scans neither withdraw nor confirm. Urgent work comes last on minions that are still slow after their start.

--- a/include/sassafras/sched/minion_orders.h
+++ b/include/sassafras/sched/minion_orders.h
@@ -21,6 +21,7 @@
   std::string zone;
   bool is_draining = false;
   duration drain_remaining{0};  ///< If draining: it stays at least this long.
+  duration cold_remaining{0};   ///< It runs slowly for so long after its start.
   resource_amounts capacity;
   std::vector<std::string> labels;
   std::string rack;  ///< Empty: not stated.
--- a/include/sassafras/sched/placement.h
+++ b/include/sassafras/sched/placement.h
@@ -31,7 +31,8 @@
   bool is_evictable_current = false;  ///< `evictable` is up to date.
   int same_step_tasks = 0;  ///< Tasks of the requested step that run here.
   bool is_usable = true;    ///< May be given tasks.
-  /// No run has succeeded here since the minion was avoided.
+  /// No run has succeeded here since the minion was avoided, or it has just
+  /// started and is still slow.
   bool is_on_probation = false;
 };
 
--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -12,6 +12,7 @@
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/time.h"
 #include "sassafras/net/table_port.h"
+#include "sassafras/sched/evacuations.h"
 #include "sassafras/sched/job_codec.h"
 #include "sassafras/sched/job_model.h"
 #include "sassafras/sched/minion_orders.h"
@@ -32,6 +33,10 @@
   duration reclaim_time{2'900'000};
   /// Time for which the rows of an ended job are kept.
   duration state_retention{150'000'000};
+  /// Time since the evacuated data centres were last confirmed after which
+  /// nothing is started, since any may have been evacuated meanwhile. 0: no
+  /// limit.
+  duration max_evacuation_age{0};
 };
 
 /// A decision or an observation of the core, for the log.
@@ -130,6 +135,10 @@
   /// cancellation's row. Unknown ids are ignored.
   void OnCancel(instant now, const std::string& id, std::uint64_t version);
 
+  /// Sets the evacuated data centres, in which nothing is started. What runs
+  /// there goes on.
+  void OnEvacuations(const evacuations& evacuated);
+
   /// Processes the complete list of minions from the platform.
   void OnMinions(instant now, const std::vector<minion_report>& minions);
 
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -254,7 +254,7 @@
 void caller_service::ReadAcceptedJob(const std::string& id,
                                      const reply& answer) {
   deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(),
-                                             answer](const read_answer& read) {
+                                         answer](const read_answer& read) {
     if (read.state != answer_state::kDone) {
       answer(self->MakeRefusal(error_kind::kStoreUnavailable,
                                "the job could not be read"));
@@ -271,7 +271,7 @@
 
 void caller_service::CancelJob(const std::string& id, const reply& answer) {
   deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(), id,
-                                             answer](const read_answer& read) {
+                                         answer](const read_answer& read) {
     if (read.state != answer_state::kDone) {
       answer(self->MakeRefusal(error_kind::kStoreUnavailable,
                                "the job could not be read"));
--- a/programs/entry/config_watch.cc
+++ b/programs/entry/config_watch.cc
@@ -67,6 +67,11 @@
         for (const table_row& row : answer.rows) {
           self->ApplyRow(row);
         }
+        {
+          const std::lock_guard lock(self->mutex_);
+          self->evacuations_.OnScan(sent, answer.store_version,
+                                    self->EvacuationRows(answer.rows));
+        }
         self->RecordConfirmation(sent, answer.store_version);
         self->FollowTable();
       });
@@ -95,13 +100,38 @@
         for (const table_row& row : answer.rows) {
           self->ApplyRow(row);
         }
+        {
+          const std::lock_guard lock(self->mutex_);
+          self->evacuations_.OnChanges(sent, answer.store_version,
+                                       self->EvacuationRows(answer.rows));
+        }
         self->RecordConfirmation(sent, answer.store_version);
         self->FollowTable();
       });
 }
 
+sched::evacuations config_watch::Evacuations() const {
+  const std::lock_guard lock(mutex_);
+  return evacuations_;
+}
+
+std::vector<sched::evacuation_row> config_watch::EvacuationRows(
+    const std::vector<table_row>& rows) const {
+  std::vector<sched::evacuation_row> evacuated;
+  for (const table_row& row : rows) {
+    if (const auto decoded = adapter_.decode_evacuation(row)) {
+      LogEvent("evacuation",
+               {{"place", decoded->place},
+                {"withdrawn", decoded->is_withdrawn ? "yes" : "no"},
+                {"version", std::to_string(row.version)}});
+      evacuated.push_back(*decoded);
+    }
+  }
+  return evacuated;
+}
+
 void config_watch::ApplyRow(const table_row& row) {
-  if (row.is_erased) {
+  if (row.is_erased || adapter_.decode_evacuation(row)) {
     return;
   }
   if (row.key == adapter_.config_key) {
--- a/programs/entry/config_watch.h
+++ b/programs/entry/config_watch.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 #include "programs/entry/platform_adapter.h"
 #include "sassafras/core/counter_table.h"
@@ -11,8 +12,9 @@
 namespace sassafras {
 
 /// Watches the operator's table in the store, first by a scan and then by long
-/// polls of its change feed, and keeps the newest configuration. A version in
-/// force is never replaced by an older one. Safe to use from several threads.
+/// polls of its change feed, and keeps the newest configuration and the
+/// evacuated data centres. A version in force is never replaced by an older
+/// one. Safe to use from several threads.
 class config_watch : public std::enable_shared_from_this<config_watch> {
  public:
   struct hooks {
@@ -43,6 +45,9 @@
   /// configuration.
   duration Age() const;
 
+  /// Returns the evacuated data centres.
+  sched::evacuations Evacuations() const;
+
  private:
   config_watch(const platform_adapter& adapter,
                counter_table& counters,
@@ -53,6 +58,8 @@
   void ApplyRow(const table_row& row);
   void AdoptConfig(const table_row& row);
   void RecordConfirmation(instant sent, std::uint64_t store_version);
+  std::vector<sched::evacuation_row> EvacuationRows(
+      const std::vector<table_row>& rows) const;
 
   const platform_adapter& adapter_;
   counter_table& counters_;
@@ -61,6 +68,7 @@
   sched::service_config_ptr current_;
   instant confirmed_at_;
   std::uint64_t store_version_ = 0;
+  sched::evacuations evacuations_;
 };
 
 }  // namespace sassafras
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -77,7 +77,8 @@
   };
   owner_ = job_owner::Make(adapter_, table_, settings_, budget_.long_polls,
                            counters_, metrics_,
-                           {SuspendAwareNow, WallUnixMs, after});
+                           {SuspendAwareNow, WallUnixMs, after,
+                            [this] { return config_->Evacuations(); }});
   config_ = config_watch::Make(
       adapter_, counters_,
       {SuspendAwareNow, after,
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -83,6 +83,7 @@
   read_duration("restore_time", settings.restore_time);
   read_duration("reclaim_time", settings.reclaim_time);
   read_duration("revoke_time", settings.revoke_time);
+  read_duration("evacuate_time", settings.evacuate_time);
   settings.stop_grace =
       ReadSeconds(reader, "stop_grace_seconds", settings.stop_grace);
   settings.checkpoint_interval =
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -33,7 +33,10 @@
   /// Time within which a waiting guaranteed job must start.
   duration reclaim_time{2'900'000};
   duration revoke_time{5'000'000};  ///< Until a revoked key is refused.
-  duration stop_grace{6'000'000};   ///< From the stop signal to the kill.
+  /// Within which nothing more is started in an evacuated data centre; 0: data
+  /// centres are not evacuated.
+  duration evacuate_time{0};
+  duration stop_grace{6'000'000};  ///< From the stop signal to the kill.
   /// Time for which callers can ask for the state of an ended job.
   duration state_time{120'000'000};
 };
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -1,5 +1,6 @@
 #include "programs/entry/job_owner.h"
 
+#include <algorithm>
 #include <chrono>
 #include <random>
 #include <utility>
@@ -28,6 +29,8 @@
 // Time after the last commit at which the owner renews the lease. Any commit
 // renews it as well.
 constexpr duration kRenewInterval = 200ms;
+// Part of the bound on evacuations that is left for a decision and its orders.
+constexpr duration kEvacuationMargin = 1200ms;
 // Number of fencing tokens per epoch of the lease. If ownership is lost and
 // regained without another owner in between, the epoch stays the same, but the
 // new tenure needs a token of its own.
@@ -47,6 +50,10 @@
   options.checkpoint_interval = settings.checkpoint_interval;
   options.restore_time = settings.restore_time;
   options.reclaim_time = settings.reclaim_time;
+  if (settings.evacuate_time > duration(0)) {
+    options.max_evacuation_age =
+        std::max(settings.evacuate_time - kEvacuationMargin, duration(1));
+  }
   options.state_retention = settings.state_time * 5 / 4;
   return options;
 }
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -43,6 +43,8 @@
     std::function<std::int64_t()> wall_unix_ms;
     /// Calls `action` once after `delay`.
     std::function<void(duration delay, std::function<void()> action)> after;
+    /// Returns the data centres that the operator has evacuated.
+    std::function<sched::evacuations()> evacuations;
   };
 
   /// `max_long_polls` is the number of polls of minions that may wait for a run
--- a/programs/entry/job_owner_orders.cc
+++ b/programs/entry/job_owner_orders.cc
@@ -75,6 +75,7 @@
 
 void job_owner::DecideNow() {
   const instant began = hooks_.now();
+  const sched::evacuations evacuated = hooks_.evacuations();
   sched::work_actions actions;
   std::uint64_t tenure = 0;
   {
@@ -84,6 +85,7 @@
       return;
     }
     tenure = tenure_;
+    core_->OnEvacuations(evacuated);
     actions = core_->Decide(began, hooks_.wall_unix_ms());
   }
   ExecuteActions(tenure, std::move(actions));
--- a/programs/entry/platform_adapter.h
+++ b/programs/entry/platform_adapter.h
@@ -9,6 +9,7 @@
 #include "sassafras/net/http_types.h"
 #include "sassafras/net/table_port.h"
 #include "sassafras/sched/caller.h"
+#include "sassafras/sched/evacuations.h"
 #include "sassafras/sched/minion_orders.h"
 #include "sassafras/sched/service_config.h"
 #include "sassafras/sched/upkeep_core.h"
@@ -33,6 +34,9 @@
       decode_wave;
   std::function<table_write(const sched::wave_status& status)>
       encode_wave_status;
+  /// Returns nothing if `row` does not evacuate a data centre.
+  std::function<std::optional<sched::evacuation_row>(const table_row& row)>
+      decode_evacuation;
 
   std::string minion_table;  ///< Key prefix of the list of minions.
   std::function<result<sched::minion_report>(const table_row& row)>
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -340,6 +340,10 @@
   impl_->CancelJob(now, id, version);
 }
 
+void work_core::OnEvacuations(const evacuations& evacuated) {
+  impl_->SetEvacuations(evacuated);
+}
+
 void work_core::OnMinions(instant now,
                           const std::vector<minion_report>& minions) {
   impl_->HandleMinionList(now, minions);
--- a/src/sched/work_draining.cc
+++ b/src/sched/work_draining.cc
@@ -67,6 +67,32 @@
   }
 }
 
+// Minions of data centres whose evacuation begins or ends are handled anew, and
+// waiting jobs are placed again.
+void work_core::impl::SetEvacuations(const evacuations& evacuated) {
+  const bool is_same = evacuated.Places() == evacuations_.Places();
+  const std::set<std::string> before = evacuations_.Places();
+  evacuations_ = evacuated;
+  if (is_same) {
+    return;
+  }
+  should_place_ = true;
+  for (auto& [id, minion] : minions_) {
+    if (before.contains(minion.report.zone) !=
+        evacuations_.Places().contains(minion.report.zone)) {
+      MarkDirty(minion);
+    }
+  }
+}
+
+// Returns whether the evacuated data centres are known well enough to start
+// anything.
+bool work_core::impl::MayStartAnything(instant now) const {
+  return options_.max_evacuation_age == duration(0) ||
+         (evacuations_.ConfirmedAt() != instant() &&
+          now - evacuations_.ConfirmedAt() <= options_.max_evacuation_age);
+}
+
 void work_core::impl::SetCordoned(const std::string& minion, bool is_cordoned) {
   minion_entry* entry = FindMinion(minion);
   if (entry != nullptr && entry->is_cordoned != is_cordoned) {
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -80,6 +80,7 @@
   void CheckProgress(instant now);
 
   // work_draining.cc
+  void SetEvacuations(const evacuations& evacuated);
   void SetCordoned(const std::string& minion, bool is_cordoned);
   bool TryDrain(instant now, const std::string& minion, bool is_forced);
 
@@ -160,6 +161,7 @@
   void CountFailure(instant now, job_entry& job, work_unit& unit);
   void UpdateState(instant now, job_entry& job);
   void MarkChanged(job_entry& job);
+  bool MayStartOn(instant now, const minion_entry& minion) const;
   bool ResendStarts(instant now, const unit_ref& ref);
 
   // work_minions.cc
@@ -190,6 +192,7 @@
   void RemoveDepartedMinions();
   void StopOrphan(const minion_entry& minion, const listed_run& run);
   std::string_view HealthOf(instant now, const minion_entry& minion) const;
+  bool MayStartAnything(instant now) const;
   void UpdateFailureHistory(instant now,
                             minion_entry& minion,
                             const std::string& job,
@@ -324,6 +327,7 @@
   const instant tenure_began_at_;
   counter_table& counters_;
   service_config_ptr config_;
+  evacuations evacuations_;
   std::map<std::string, job_entry> jobs_;
   // Jobs that decisions must consider: those that have not ended, have reserved
   // capacity, or have a change that is not durable.
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -470,6 +470,9 @@
   if (minion.is_cordoned) {
     return "awaits upkeep";
   }
+  if (evacuations_.Places().contains(minion.report.zone)) {
+    return "evacuated";
+  }
   if (!minion.has_answered) {
     return "not looked at yet";
   }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -91,6 +91,10 @@
 
 void work_core::impl::PlaceAll(instant now, std::int64_t wall_unix_ms) {
   ProcessClaims(now);
+  if (!MayStartAnything(now)) {
+    counters_.Add("sched_placement_held_back");
+    return;
+  }
   if (now < placement_not_before_ ||
       (!should_place_ && now < next_placement_)) {
     return;
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -120,6 +120,14 @@
   }
 }
 
+// Returns whether a start may be sent to the minion again. It may have been
+// executed already, so that only what forbids a start at all counts.
+bool work_core::impl::MayStartOn(instant now,
+                                 const minion_entry& minion) const {
+  return MayStartAnything(now) && !minion.report.is_draining &&
+         !evacuations_.Places().contains(minion.report.zone);
+}
+
 // Sends unanswered starts again, up to kMaxStartAttempts times in all; then the
 // run is closed. Returns whether some starts are still unanswered.
 bool work_core::impl::ResendStarts(instant now, const unit_ref& ref) {
@@ -133,6 +141,10 @@
     }
     if (member.is_order_in_flight || now < member.next_send) {
       has_unanswered = true;
+    } else if (!MayStartOn(now, MinionOf(member.incarnation.id))) {
+      counters_.Add("sched_start_dropped_minion_unfit");
+      CloseRun(now, *ref.job, *ref.unit, close_cause::kMinionUnusable);
+      return false;
     } else if (member.starts_sent < kMaxStartAttempts) {
       SendStart(now, *ref.job, *ref.unit, member);
     } else {
@@ -155,7 +167,8 @@
     const bool is_ticket_missing =
         NeedsAdvice(job) &&
         TicketOf(now, job, unit, member.incarnation).empty();
-    if (!is_same || is_ticket_missing || HealthOf(now, minion) != "usable") {
+    if (!is_same || is_ticket_missing || HealthOf(now, minion) != "usable" ||
+        !MayStartAnything(now)) {
       counters_.Add("sched_start_dropped_minion_unfit");
       CloseRun(now, job, unit, close_cause::kMinionUnusable);
       return;
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -110,7 +110,8 @@
   minion_view& view = minion.fleet->MutableMinion(minion.view_index);
   view.free = minion.report.capacity - minion.used;
   view.is_usable = HealthOf(now, minion) == "usable";
-  view.is_on_probation = minion.penalties > 0;
+  view.is_on_probation =
+      minion.penalties > 0 || minion.report.cold_remaining > duration(0);
 }
 
 void work_core::impl::RebuildViews(instant now) {
