--- a/tests/config_watch_test.cc
+++ b/tests/config_watch_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <utility>
@@ -66,6 +68,13 @@
     adapter.table = table.Port();
     adapter.config_table = "op/";
     adapter.config_key = "op/config";
+    adapter.decode_evacuation =
+        [](const table_row& row) -> std::optional<sched::evacuation_row> {
+      if (!row.key.starts_with("op/evacuate/")) {
+        return std::nullopt;
+      }
+      return sched::evacuation_row{row.key.substr(12), row.is_erased};
+    };
     adapter.decode_config =
         [](const std::string& text) -> result<sched::service_config> {
       std::istringstream words(text);
@@ -170,4 +179,43 @@
   }
 }
 
+TEST_CASE("A process learns of evacuated data centres") {
+  scripted_table table;
+  watching_process process(table);
+  table.AnswerScan("5 key", 10);
+  CHECK(process.watch->Evacuations().Places().empty());
+  follow_answer change;
+  change.state = answer_state::kDone;
+  change.store_version = 11;
+  change.rows.push_back({"op/evacuate/lahore", "not JSON", 11});
+  table.AnswerFeed(change);
+  const std::set<std::string> lahore = {"lahore"};
+  CHECK(process.watch->Evacuations().Places() == lahore);
+
+  SECTION("it is taken back when its row is erased") {
+    change.store_version = 12;
+    change.rows.front().is_erased = true;
+    table.AnswerFeed(change);
+    CHECK(process.watch->Evacuations().Places().empty());
+  }
+  SECTION("after lost history a scan tells which are still evacuated") {
+    follow_answer lost_history;
+    lost_history.is_history_truncated = true;
+    table.AnswerFeed(lost_history);
+    CHECK(process.watch->Evacuations().Places() == lahore);
+    process.now += 2s;
+    table.AnswerScan("5 key", 12);
+    CHECK(process.watch->Evacuations().Places().empty());
+  }
+  SECTION("a stale scan neither takes it back nor confirms it") {
+    follow_answer lost_history;
+    lost_history.is_history_truncated = true;
+    process.now += 2s;
+    table.AnswerFeed(lost_history);
+    table.AnswerScan("5 key", 10);
+    CHECK(process.watch->Evacuations().Places() == lahore);
+    CHECK(process.watch->Evacuations().ConfirmedAt() == instant(1h));
+  }
+}
+
 }  // namespace sassafras
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -35,6 +35,7 @@
     bool refuses_orders_to_earlier_incarnations = true;
     std::uint64_t seed = 1;
     int max_long_polls = 1'000'000;
+    duration max_evacuation_age{0};  ///< See work_options.
   };
 
   explicit fake_fleet(options initial_options)
@@ -75,6 +76,7 @@
     work_options bounds;
     bounds.max_lease = kLease;
     bounds.max_long_polls = options_.max_long_polls;
+    bounds.max_evacuation_age = options_.max_evacuation_age;
     core = std::make_unique<work_core>(bounds, fence_, now, counters);
     core->OnConfig(config_);
     for (const auto& [id, job] : jobs) {
@@ -187,6 +189,9 @@
   std::map<std::string, fake_minion> minions;
   std::map<std::string, accepted_job> jobs;
   std::set<std::string> cancelled;
+  evacuations evacuated;
+  /// Whether the evacuated data centres are confirmed all the time.
+  bool is_operator_reachable = true;
   fake_table table;
   std::vector<std::string> violations;
   std::map<std::string, int> starts;  ///< Executed starts by job.
@@ -269,6 +274,10 @@
   }
 
   void Decide() {
+    if (is_operator_reachable) {
+      evacuated.OnChanges(now, 0, {});
+    }
+    core->OnEvacuations(evacuated);
     work_actions actions =
         core->Decide(now, now.time_since_epoch().count() / 1000);
     const std::uint64_t fence_at_send = fence_;
