Place urgent work on proven minions while several hang

Change: what is believed about a minion is a type of its own (minion_trust). While runs stall on two minions or more (stall_alert), urgent units go to minions where some run has progressed in the last 1.2 s, before those that need no eviction; minions with runs are polled more often meanwhile.

Those that ran when the minions began to hang remain late.

--- a/include/sassafras/sched/placement.h
+++ b/include/sassafras/sched/placement.h
@@ -34,6 +34,7 @@
   /// No run has succeeded here since the minion was avoided, or it has just
   /// started and is still slow.
   bool is_on_probation = false;
+  bool is_proven = false;  ///< A run has progressed here a moment ago.
 };
 
 /// The minions of one rack, as the range [begin, end) of the fleet's minions,
@@ -77,6 +78,7 @@
   bool may_leave_rack = false;  ///< May ignore wants_one_rack and data_rack.
   bool may_evict = false;       ///< May use resources of `evictable` runs.
   bool is_urgent = false;       ///< Tries racks in reverse order.
+  bool requires_proof = false;  ///< Uses only minions that are proven.
   /// Minions on which the request has failed; they are used last. May be null.
   const std::set<std::string>* failed_on = nullptr;
 };
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -78,7 +78,7 @@
 };
 
 bool placement_search::IsAllowed(const minion_view& minion) const {
-  if (!minion.is_usable) {
+  if (!minion.is_usable || (limits_.requires_proof && !minion.is_proven)) {
     return false;
   }
   return step_.required_label.empty() ||
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -12,6 +13,7 @@
 #include "sassafras/sched/placement.h"
 #include "sassafras/sched/work_core.h"
 #include "src/sched/close_cause.h"
+#include "src/sched/minion_trust.h"
 #include "src/sched/work_state.h"
 
 namespace sassafras::sched {
@@ -184,7 +186,7 @@
   bool HasLeaseExpired(instant now, const minion_entry& minion) const;
   std::int64_t LeaseExpiryOnMinionClockMs(instant now,
                                           const minion_entry& minion) const;
-  duration PollWait(const minion_entry& minion) const;
+  duration PollWait(instant now, const minion_entry& minion) const;
   void EmitPoll(instant now,
                 minion_entry& minion,
                 duration wait,
@@ -193,10 +195,6 @@
   void StopOrphan(const minion_entry& minion, const listed_run& run);
   std::string_view HealthOf(instant now, const minion_entry& minion) const;
   bool MayStartAnything(instant now) const;
-  void UpdateFailureHistory(instant now,
-                            minion_entry& minion,
-                            const std::string& job,
-                            run_end outcome);
   void AvoidMinion(instant now,
                    minion_entry& minion,
                    std::string_view reason,
@@ -263,6 +261,13 @@
                           const eviction_claim& claim,
                           minion_view& view);
   bool TryPlace(instant now, job_entry& job, work_unit& unit);
+  void MarkProvenMinions(instant now, fleet_view& fleet);
+  std::optional<std::vector<std::size_t>> FindProvenMinions(
+      instant now,
+      const job_entry& job,
+      const work_unit& unit,
+      fleet_view& fleet,
+      placement_limits limits);
   bool TryPlaceAmong(instant now,
                      job_entry& job,
                      work_unit& unit,
@@ -354,6 +359,7 @@
   std::map<std::tuple<std::string, step_shape>, bool> fits_in_one_rack_;
   // Time, fleet and claim for which evictable runs were last collected.
   std::tuple<instant, const fleet_view*, eviction_claim> evictable_key_;
+  stall_alert stall_alert_;
   int long_polls_in_flight_ = 0;
   std::uint64_t last_change_ = 0;
   bool is_commit_in_flight_ = false;
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -27,11 +27,6 @@
 constexpr double kClockRateTolerance = 1.03;
 // Network and queueing delay, added to the longest lease.
 constexpr duration kLeaseExpiryMargin = std::chrono::milliseconds(500);
-// A minion is avoided after failures of this number of different jobs without
-// a success in between. Each job is counted once, because the cause may be the
-// job itself.
-constexpr std::size_t kFailedJobsThreshold = 2;
-constexpr int kMaxPenalties = 3;
 // An answer that lists this number of ends may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -126,10 +121,7 @@
   minions_with_pending_ends_.erase(minion.report.id);
   MarkDirty(minion);
   minion.next_poll = now;
-  minion.failed_jobs.clear();
-  minion.penalties = 0;
-  minion.speed = 1;
-  minion.avoid_until = now;
+  minion.trust = minion_trust();
   const auto is_of_earlier_incarnation = [&](const run_key&,
                                              const member_ref& ref) {
     return ref.member->incarnation.incarnation_unix_ms != incarnation;
@@ -280,6 +272,7 @@
     if (ref.member->percent != run.progress_percent) {
       ref.member->percent = run.progress_percent;
       ref.member->progressed_at = now;
+      minion.trust.OnProgress(now);
     }
     UpdateSpeed(now, minion, ref);
     if (run.checkpoint > ref.unit->checkpoint) {
@@ -389,14 +382,17 @@
 
 // Returns how long the next poll may wait for an end. Beyond the limit of long
 // polls, a poll does not wait and is repeated after the same time.
-duration work_core::impl::PollWait(const minion_entry& minion) const {
+duration work_core::impl::PollWait(instant now,
+                                   const minion_entry& minion) const {
   if (!minion.pending_ends.empty() || minion.members.empty()) {
     return duration(0);
   }
   if (minion.HasServingAndFillers()) {
     return kServingPollWait;
   }
-  return minion.counts.urgent > 0 ? kUrgentPollWait : kPollWait;
+  const bool needs_evidence = stall_alert_.IsRaised(now);
+  return minion.counts.urgent > 0 || needs_evidence ? kUrgentPollWait
+                                                    : kPollWait;
 }
 
 void work_core::impl::EmitPolls(instant now, minion_entry& minion) {
@@ -412,7 +408,7 @@
   }
   if (minion.NeedsPolling() && !minion.is_poll_in_flight &&
       now >= minion.next_poll) {
-    const duration wait = PollWait(minion);
+    const duration wait = PollWait(now, minion);
     if (!minion.pending_ends.empty()) {
       minion.next_poll = now + kPendingEndsPollInterval;
     }
@@ -479,39 +475,19 @@
   if (!minion.is_responsive) {
     return "silent";
   }
-  return now < minion.avoid_until ? "avoided" : "usable";
+  return minion.trust.IsAvoided(now) ? "avoided" : "usable";
 }
 
-// Avoids a minion on which several jobs failed without a success in between.
-void work_core::impl::UpdateFailureHistory(instant now,
-                                           minion_entry& minion,
-                                           const std::string& job,
-                                           run_end outcome) {
-  if (outcome == run_end::kDone) {
-    minion.failed_jobs.clear();
-    minion.penalties = 0;
-  } else if (outcome == run_end::kFailed) {
-    minion.failed_jobs.insert(job);
-    if (minion.failed_jobs.size() >= kFailedJobsThreshold) {
-      AvoidMinion(now, minion,
-                  "runs of several jobs failed on it without a success");
-    }
-  }
-}
-
-// Keeps tasks off a minion for a period that doubles with each penalty. Reasons
-// that occur during that period have no further effect.
+// Reasons that occur while the minion is avoided have no further effect.
 void work_core::impl::AvoidMinion(instant now,
                                   minion_entry& minion,
                                   std::string_view reason,
                                   duration base_pause) {
-  if (now < minion.avoid_until) {
+  if (!minion.trust.Avoid(now, base_pause)) {
     return;
   }
   counters_.Add("sched_minions_avoided");
   MarkDirty(minion);
-  minion.avoid_until = now + base_pause * (1 << minion.penalties);
-  minion.penalties = std::min(minion.penalties + 1, kMaxPenalties);
   LogEvent("minion_avoided", "", "", minion.report.id, std::string(reason));
 }
 
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -241,6 +241,44 @@
   return it->second;
 }
 
+// Sets which minions are proven. This passes with time, so that it cannot be
+// kept with the views.
+void work_core::impl::MarkProvenMinions(instant now, fleet_view& fleet) {
+  for (std::size_t index = 0; index < fleet.Minions().size(); ++index) {
+    const minion_view& view = fleet.Minions()[index];
+    const bool is_proven = minions_.at(view.id).trust.IsProven(now);
+    if (view.is_proven != is_proven) {
+      fleet.MutableMinion(index).is_proven = is_proven;
+    }
+  }
+}
+
+// While several minions hang, an urgent unit is first placed on minions where
+// runs progress, even if less urgent ones must be evicted there. Returns
+// nothing if they do not hold it, or if no minions hang.
+std::optional<std::vector<std::size_t>> work_core::impl::FindProvenMinions(
+    instant now,
+    const job_entry& job,
+    const work_unit& unit,
+    fleet_view& fleet,
+    placement_limits limits) {
+  if (job.accepted.priority != 0 || !stall_alert_.IsRaised(now)) {
+    return std::nullopt;
+  }
+  MarkProvenMinions(now, fleet);
+  const step_spec& step = job.accepted.spec.steps.at(unit.step);
+  limits.requires_proof = true;
+  auto found = PlaceTasks(step, unit.width, fleet, limits);
+  if (!found) {
+    CollectEvictable(now, {job.accepted.priority, job.accepted.team, false},
+                     fleet);
+    limits.may_evict = true;
+    found = PlaceTasks(step, unit.width, fleet, limits);
+  }
+  counters_.Add(found ? "sched_placed_on_proven" : "sched_no_proven_room");
+  return found;
+}
+
 bool work_core::impl::TryPlaceAmong(instant now,
                                     job_entry& job,
                                     work_unit& unit,
@@ -253,7 +291,10 @@
   limits.is_urgent = job.accepted.priority == 0;
   limits.may_leave_rack = CanSpreadOverRacks(now, {&job, &unit});
   limits.failed_on = &unit.failed_on;
-  auto minion_indices = PlaceTasks(step, unit.width, fleet, limits);
+  auto minion_indices = FindProvenMinions(now, job, unit, fleet, limits);
+  if (!minion_indices) {
+    minion_indices = PlaceTasks(step, unit.width, fleet, limits);
+  }
   const bool is_rack_bound = step.wants_one_rack || !step.data_rack.empty();
   if (!minion_indices && is_rack_bound && !limits.may_leave_rack &&
       !CouldFitInOneRack(ServiceOf(job), fleet, {&job, &unit})) {
--- a/src/sched/work_progress.cc
+++ b/src/sched/work_progress.cc
@@ -12,11 +12,6 @@
 // Minimum duration of a speed sample. Polls report progress in whole percent,
 // which is too coarse over a shorter time.
 constexpr duration kSpeedSampleInterval = std::chrono::milliseconds(700);
-// Weight of a new sample in the moving average of a minion's speed.
-constexpr double kSpeedSampleWeight = 0.4;
-// Speed below which a minion counts as slow. Estimates are off by up to half,
-// and the speeds of healthy minions differ by a fifth.
-constexpr double kSlowMinionSpeed = 0.33;
 // A run is stalled if it has made no progress for this time and for this share
 // of its estimate.
 constexpr duration kMinStallTime = std::chrono::milliseconds(1200);
@@ -69,8 +64,7 @@
                       static_cast<double>(kWholePercent);
   const double speed = done * static_cast<double>(step.estimate.count()) /
                        static_cast<double>(elapsed.count());
-  minion.speed = minion.speed * (1 - kSpeedSampleWeight) +
-                 std::min(speed, 2.0) * kSpeedSampleWeight;
+  minion.trust.AddSpeedSample(speed);
   member.speed_sample_at = now;
   member.speed_sample_percent = member.percent;
 }
@@ -114,11 +108,11 @@
       continue;
     }
     minion_entry& minion = found->second;
-    if (minion.speed < kSlowMinionSpeed) {
+    if (minion.trust.IsSlow()) {
       AvoidMinion(now, minion,
                   "its runs progress much more slowly than estimated",
                   kSlowMinionPause);
-      minion.speed = 1;
+      minion.trust.ResetSpeed();
     }
     for (const auto& [run, ref] : minion.members) {
       if (ref.unit->phase == unit_phase::kActive && IsStalled(ref)) {
@@ -139,6 +133,7 @@
                                      const member_ref& ref) {
   AvoidMinion(now, minions_.at(minion), "a run on it makes no progress",
               kSlowMinionPause);
+  stall_alert_.OnStall(now, minion);
   ref.unit->failed_on.insert(minion);
   if (ref.unit->phase != unit_phase::kActive) {
     return;  // Already moved for another member.
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -342,7 +342,10 @@
                                 const listed_end& end) {
   job_entry& job = *ref.job;
   work_unit& unit = *ref.unit;
-  UpdateFailureHistory(now, minion, job.accepted.id, end.how);
+  if (minion.trust.OnEnd(now, job.accepted.id, end.how)) {
+    AvoidMinion(now, minion,
+                "runs of several jobs failed on it without a success");
+  }
   KeepNewer(unit.checkpoint, end.checkpoint);
   ReleaseMember(job, unit, *ref.member);
   const bool is_persistent =
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -14,6 +14,7 @@
 #include "sassafras/sched/job_model.h"
 #include "sassafras/sched/minion_orders.h"
 #include "sassafras/sched/placement.h"
+#include "src/sched/minion_trust.h"
 
 namespace sassafras::sched {
 
@@ -240,13 +241,10 @@
   instant next_poll;        ///< Earliest time of the next regular poll.
   instant next_extra_poll;  ///< Earliest time of the next extra poll.
   instant drain_deadline;  ///< Earliest time at which a draining minion leaves.
-  bool is_cordoned = false;  ///< Receives no tasks: its upkeep is due.
-  double speed = 1;          ///< Moving average of progress over estimate.
-  int filler_percent = 100;  ///< Speed limit of its fillers.
-  instant paced_at;          ///< When `filler_percent` last changed.
-  instant avoid_until;       ///< Receives no tasks until then.
-  std::set<std::string> failed_jobs;  ///< Failed since its last success.
-  int penalties = 0;            ///< Doublings of the next avoidance period.
+  bool is_cordoned = false;     ///< Receives no tasks: its upkeep is due.
+  int filler_percent = 100;     ///< Speed limit of its fillers.
+  instant paced_at;             ///< When `filler_percent` last changed.
+  minion_trust trust;           ///< Of this incarnation.
   fleet_view* fleet = nullptr;  ///< Of its service; null if not listed.
   std::size_t view_index = 0;   ///< Its index in `fleet`.
   bool is_dirty = false;        ///< Is in dirty_minions_.
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -97,8 +97,8 @@
   if (minion.report.is_draining && !minion.members.empty()) {
     wake_at(now + kDrainCheckInterval);
   }
-  if (minion.avoid_until > now) {
-    wake_at(minion.avoid_until);
+  if (minion.trust.IsAvoided(now)) {
+    wake_at(minion.trust.AvoidedUntil());
   }
   return due;
 }
@@ -110,8 +110,8 @@
   minion_view& view = minion.fleet->MutableMinion(minion.view_index);
   view.free = minion.report.capacity - minion.used;
   view.is_usable = HealthOf(now, minion) == "usable";
-  view.is_on_probation =
-      minion.penalties > 0 || minion.report.cold_remaining > duration(0);
+  view.is_on_probation = minion.trust.IsOnProbation() ||
+                         minion.report.cold_remaining > duration(0);
 }
 
 void work_core::impl::RebuildViews(instant now) {
