Count the work that closed runs lose, by cause

Change: sched_lost_core_seconds_CAUSE, and priority, width and loss in the line run_closed. No decision changes.

--- a/src/sched/work_evicting.cc
+++ b/src/sched/work_evicting.cc
@@ -30,9 +30,9 @@
 // Returns the work in core-seconds that is lost if the unit is stopped now. For
 // a step that writes checkpoints, the loss is bounded by the work since the
 // last checkpoint plus the time to resume from it.
-double work_core::impl::EvictionLossOf(instant now,
-                                       const job_entry& job,
-                                       work_unit& unit) const {
+double work_core::impl::LossOf(instant now,
+                               const job_entry& job,
+                               work_unit& unit) const {
   if (unit.loss_at == now) {
     return unit.loss;
   }
@@ -151,7 +151,7 @@
       candidates.push_back({std::numeric_limits<int>::min(), {held, 0}});
     } else if (IsEvictableFor(now, claim, *ref.job, *ref.unit)) {
       candidates.push_back({-ref.job->accepted.priority,
-                            {held, EvictionLossOf(now, *ref.job, *ref.unit)}});
+                            {held, LossOf(now, *ref.job, *ref.unit)}});
     }
   }
   std::stable_sort(candidates.begin(), candidates.end(),
@@ -214,7 +214,7 @@
         if (!IsEvictableFor(now, claim, *ref.job, *ref.unit)) {
           continue;
         }
-        const victim candidate{ref, EvictionLossOf(now, *ref.job, *ref.unit)};
+        const victim candidate{ref, LossOf(now, *ref.job, *ref.unit)};
         const auto rank = [](const victim& item) {
           return std::pair(-item.ref.job->accepted.priority, item.loss);
         };
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -285,7 +285,7 @@
   void ProcessClaims(instant now);
   bool RecordIfFree(const unit_ref& claimed);
   void RecordRun(job_entry& job, work_unit& unit);
-  double EvictionLossOf(instant now,
+  double LossOf(instant now,
                         const job_entry& job,
                         work_unit& unit) const;
 
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -1,5 +1,7 @@
 #include <algorithm>
 #include <chrono>
+#include <cmath>
+#include <cstdint>
 #include <utility>
 
 #include "sassafras/core/invariant.h"
@@ -266,13 +268,22 @@
     return;
   }
   if (unit.phase != unit_phase::kClosing) {
+    const double lost =
+        cause == close_cause::kDone ? 0 : LossOf(now, job, unit);
     SetPhase(job, unit, unit_phase::kClosing);
-    counters_.Add("sched_closed_" + std::string(GetInfo(cause).name));
+    const std::string name(GetInfo(cause).name);
+    counters_.Add("sched_closed_" + name);
+    counters_.Add("sched_lost_core_seconds_" + name,
+                  static_cast<std::uint64_t>(std::llround(lost)));
     LogEvent("run_closed", job.accepted.id,
              std::to_string(unit.occurrence) + "." + std::to_string(unit.step) +
                  "." + std::to_string(unit.index) + "#" +
                  std::to_string(unit.run),
-             "", Describe(cause, detail));
+             "",
+             Describe(cause, detail) + " priority " +
+                 std::to_string(job.accepted.priority) + " width " +
+                 std::to_string(unit.width) + " lost_core_s " +
+                 std::to_string(std::llround(lost)));
   }
   for (unit_member& member : unit.members) {
     if (member.phase == member_phase::kPlanned) {
