See stalled runs sooner where a second sign is seen

Cause: a run counted as stalled after 1.2 s and a fifth of its estimate, which is off by up to 90% for urgent jobs: found 1.8 s to 5 s after the start, while such a job may be late by 1.5 s at most.

Change: stall_rule judges a member by its own speed until it stopped; after half a second if its peers are ahead by 15% or several minions hang. Minions with urgent runs are polled each 0.4 s, 0.25 s during an alert.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -285,9 +285,7 @@
   void ProcessClaims(instant now);
   bool RecordIfFree(const unit_ref& claimed);
   void RecordRun(job_entry& job, work_unit& unit);
-  double LossOf(instant now,
-                        const job_entry& job,
-                        work_unit& unit) const;
+  double LossOf(instant now, const job_entry& job, work_unit& unit) const;
 
   // work_advice.cc
   bool NeedsAdvice(const job_entry& job) const;
@@ -310,7 +308,10 @@
 
   // work_progress.cc
   void UpdateSpeed(instant now, minion_entry& minion, const member_ref& ref);
-  static bool IsStalled(const member_ref& ref);
+  static int LeadOfPeers(const work_unit& unit, const unit_member& member);
+  static bool IsMemberStalled(const unit_ref& ref,
+                              const unit_member& member,
+                              bool has_alert);
   void MoveStalledRun(instant now,
                       const std::string& minion,
                       const member_ref& ref);
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -15,7 +15,9 @@
 constexpr duration kServingPollWait = std::chrono::milliseconds(400);
 // Wait where urgent runs are present: they take seconds, so that a stalled one
 // must be detected sooner.
-constexpr duration kUrgentPollWait = std::chrono::milliseconds(600);
+constexpr duration kUrgentPollWait = std::chrono::milliseconds(400);
+// Wait where urgent runs are present while several minions hang.
+constexpr duration kAlertPollWait = std::chrono::milliseconds(250);
 // Delay before an unresponsive minion is polled again.
 constexpr duration kUnresponsivePollInterval = std::chrono::milliseconds(300);
 // Delay of the next poll while ends are not durable yet.
@@ -390,9 +392,10 @@
   if (minion.HasServingAndFillers()) {
     return kServingPollWait;
   }
-  const bool needs_evidence = stall_alert_.IsRaised(now);
-  return minion.counts.urgent > 0 || needs_evidence ? kUrgentPollWait
-                                                    : kPollWait;
+  if (stall_alert_.IsRaised(now)) {
+    return minion.counts.urgent > 0 ? kAlertPollWait : kUrgentPollWait;
+  }
+  return minion.counts.urgent > 0 ? kUrgentPollWait : kPollWait;
 }
 
 void work_core::impl::EmitPolls(instant now, minion_entry& minion) {
--- a/src/sched/work_progress.cc
+++ b/src/sched/work_progress.cc
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <chrono>
+#include <cstddef>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "src/sched/stall_rule.h"
 #include "src/sched/work_impl.h"
 
 namespace sassafras::sched {
@@ -12,14 +14,10 @@
 // Minimum duration of a speed sample. Polls report progress in whole percent,
 // which is too coarse over a shorter time.
 constexpr duration kSpeedSampleInterval = std::chrono::milliseconds(700);
-// A run is stalled if it has made no progress for this time and for this share
-// of its estimate.
-constexpr duration kMinStallTime = std::chrono::milliseconds(1200);
-constexpr double kStallShare = 0.2;
 constexpr int kWholePercent = 100;
-// Share of the stall time after which the other members of a stalled gang count
+// Time without progress after which the other members of a stalled gang count
 // as stalled too. They would be detected shortly afterwards.
-constexpr double kGangStallShare = 0.75;
+constexpr duration kGangStallTime = std::chrono::milliseconds(900);
 // Interval between progress checks: a fraction of the shortest stall time.
 constexpr duration kProgressCheckInterval = std::chrono::milliseconds(40);
 // First avoidance period of a minion with stalled or slow runs: such a problem
@@ -69,27 +67,51 @@
   member.speed_sample_percent = member.percent;
 }
 
+// Returns how far the median of the other members is ahead of `member`.
+int work_core::impl::LeadOfPeers(const work_unit& unit,
+                                 const unit_member& member) {
+  std::vector<int> percents;
+  for (const unit_member& other : unit.members) {
+    if (&other != &member) {
+      percents.push_back(other.percent);
+    }
+  }
+  if (percents.empty()) {
+    return 0;
+  }
+  const auto middle =
+      percents.begin() + static_cast<std::ptrdiff_t>(percents.size() / 2);
+  std::nth_element(percents.begin(), middle, percents.end());
+  return std::max(0, *middle - member.percent);
+}
+
 // Returns whether the member's run makes no progress. A slow run is not moved:
 // moving discards its work, which cost more than it gained.
-bool work_core::impl::IsStalled(const member_ref& ref) {
-  const unit_member& member = *ref.member;
-  const step_spec& step = ref.job->accepted.spec.steps.at(ref.unit->step);
+bool work_core::impl::IsMemberStalled(const unit_ref& ref,
+                                      const unit_member& member,
+                                      bool has_alert) {
+  const step_spec& step = ref.Step();
   if (member.phase != member_phase::kRunning || step.is_persistent ||
-      step.is_filler || member.percent >= kWholePercent) {
+      step.is_filler) {
     return false;
   }
   // A gang makes progress only after all its members have started.
-  instant since = member.progressed_at;
+  instant began = member.confirmed_at;
   for (const unit_member& other : ref.unit->members) {
     if (other.phase != member_phase::kRunning) {
       return false;
     }
-    since = std::max(since, other.confirmed_at);
+    began = std::max(began, other.confirmed_at);
   }
-  const duration stalled_for = member.load_at - since;
-  const auto share =
-      std::chrono::duration_cast<duration>(step.estimate * kStallShare);
-  return stalled_for > std::max(kMinStallTime, share);
+  const instant stands_since = std::max(member.progressed_at, began);
+  member_progress progress;
+  progress.percent = member.percent;
+  progress.progressing_for = stands_since - began;
+  progress.standing_for = member.load_at - stands_since;
+  progress.estimate = step.estimate;
+  progress.behind_peers = LeadOfPeers(*ref.unit, member);
+  progress.has_alert = has_alert;
+  return IsStalled(progress);
 }
 
 // Avoids slow minions and moves stalled runs, among the minions polled since
@@ -101,6 +123,7 @@
     return;
   }
   next_progress_check_ = now + kProgressCheckInterval;
+  const bool has_alert = stall_alert_.IsRaised(now);
   std::vector<std::pair<std::string, run_key>> stalled_runs;
   for (const std::string& id : std::exchange(polled_minions_, {})) {
     const auto found = minions_.find(id);
@@ -115,7 +138,8 @@
       minion.trust.ResetSpeed();
     }
     for (const auto& [run, ref] : minion.members) {
-      if (ref.unit->phase == unit_phase::kActive && IsStalled(ref)) {
+      if (ref.unit->phase == unit_phase::kActive &&
+          IsMemberStalled({ref.job, ref.unit}, *ref.member, has_alert)) {
         stalled_runs.emplace_back(id, run);
       }
     }
@@ -144,7 +168,7 @@
            DescribeProgress(now, *ref.unit));
   for (const unit_member& other : ref.unit->members) {
     if (other.percent < kWholePercent &&
-        now - other.progressed_at > kMinStallTime * kGangStallShare) {
+        now - other.progressed_at > kGangStallTime) {
       AvoidMinion(now, MinionOf(other.incarnation.id),
                   "a member of a stalled gang on it makes no progress",
                   kSlowMinionPause);
