Pass calls to another entry process while the store turns this one away

Change: entry processes register in the store and find each other there. A call that this process has not acted on for want of the store goes to a peer's status address (entry_peers chooses, call_relay carries); the peer serves it or refuses, and does not pass it on. An unanswered submission is reported as unknown. The call names the lowest configuration version that may handle it, the answer the one that did: callers of one process never see a version fall.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -22,6 +22,9 @@
 // A configuration older than this may lack a queue or key that was added
 // meanwhile.
 constexpr duration kMaxFreshConfigAge = std::chrono::milliseconds(2500);
+// Time from the arrival of a call after which it is refused rather than passed
+// to another entry process.
+constexpr duration kMaxTimeBeforeRelay = std::chrono::milliseconds(1100);
 // Bounds of the delay after which callers are told to retry. The delay is
 // random between the minimum and the duration of the store outage so far, so
 // that callers do not all retry at once.
@@ -68,18 +71,53 @@
 
 void caller_service::Handle(http_exchange exchange) {
   const sched::caller_call call = deps_.adapter.decode_call(exchange.request);
-  RouteCall(call,
-            BeginCall(exchange, exchange.request.method + " " + call.path));
+  const reply answer =
+      BeginCall(exchange, exchange.request.method + " " + call.path, true);
+  if (CanServe(shown_version_.load())) {
+    RouteCall(call, answer);
+  } else {
+    answer(MakeRefusal(error_kind::kStoreUnavailable, "the store is away"));
+  }
+}
+
+void caller_service::HandleRelayed(http_exchange exchange) {
+  const sched::caller_call call = deps_.adapter.decode_call(exchange.request);
+  const std::uint64_t min_version =
+      ParseRelayedVersion(exchange.request.Header(kRelayedHeader));
+  const auto config = deps_.config.Current();
+  const std::string version = std::to_string(config ? config->version : 0);
+  http_exchange relayed = exchange;
+  relayed.reply = [send = exchange.reply, version](http_response response) {
+    response.headers[kHandledByVersionHeader] = version;
+    send(std::move(response));
+  };
+  const reply answer = BeginCall(
+      relayed, "relayed " + exchange.request.method + " " + call.path, false);
+  if (CanServe(min_version)) {
+    RouteCall(call, answer);
+  } else {
+    answer(MakeRefusal(error_kind::kStoreUnavailable, "the store is away"));
+  }
+}
+
+// Whether the store is available, and the configuration is no older than one
+// that callers have seen in force.
+bool caller_service::CanServe(std::uint64_t min_version) const {
+  const auto config = deps_.config.Current();
+  return !deps_.store.IsUnavailable() &&
+         (config ? config->version : 0) >= min_version;
 }
 
 // Registers a call in progress. The returned function sends its answer and
-// records the outcome, the latency and a log line; it must be called once.
-caller_service::reply caller_service::BeginCall(http_exchange& exchange,
-                                                const std::string& what) {
+// records the outcome, the latency and a log line; it must be called once. A
+// call that this process cannot serve is passed on first.
+caller_service::reply caller_service::BeginCall(const http_exchange& exchange,
+                                                const std::string& what,
+                                                bool may_relay) {
   ++calls_in_progress_;
   const instant began = deps_.now();
-  return [self = shared_from_this(), send = exchange.reply, what,
-          began](const caller_answer& answer) {
+  const reply finish = [self = shared_from_this(), send = exchange.reply, what,
+                        began](const caller_answer& answer) {
     --self->calls_in_progress_;
     const duration took = self->deps_.now() - began;
     const std::string outcome(
@@ -97,6 +135,71 @@
                  {"took_us", std::to_string(took.count())}});
     send(self->deps_.adapter.encode_answer(answer));
   };
+  if (!may_relay) {
+    return finish;
+  }
+  return [self = shared_from_this(), exchange, what, began,
+          finish](const caller_answer& answer) {
+    if (!self->ShouldRelay(answer, self->deps_.now() - began)) {
+      finish(answer);
+      return;
+    }
+    const auto send = [self, what, began,
+                       send = exchange.reply](http_response response) {
+      --self->calls_in_progress_;
+      const duration took = self->deps_.now() - began;
+      self->deps_.metrics_registry.Observe("call", "relayed", took);
+      LogDecision("call_answered", {{"call", what},
+                                    {"outcome", "relayed"},
+                                    {"status", std::to_string(response.status)},
+                                    {"took_us", std::to_string(took.count())}});
+      send(std::move(response));
+    };
+    self->RelayCall(exchange.request, answer, finish, send);
+  };
+}
+
+// Calls are passed on if this process has not acted on them for want of the
+// store or of a configuration, unless the caller has been held up already.
+bool caller_service::ShouldRelay(const caller_answer& answer,
+                                 duration took) const {
+  return deps_.relay && took < kMaxTimeBeforeRelay &&
+         (answer.failure == error_kind::kStoreUnavailable ||
+          answer.failure == error_kind::kNoConfiguration);
+}
+
+void caller_service::RaiseShownVersion(std::uint64_t version) {
+  std::uint64_t shown = shown_version_.load();
+  while (shown < version &&
+         !shown_version_.compare_exchange_weak(shown, version)) {
+  }
+}
+
+void caller_service::RelayCall(const http_request& request,
+                               const caller_answer& refusal,
+                               const reply& answer,
+                               const http_reply& send) {
+  const auto config = deps_.config.Current();
+  const std::uint64_t min_version =
+      std::max(shown_version_.load(), config ? config->version : 0);
+  deps_.relay(
+      request, min_version,
+      [self = shared_from_this(), refusal, answer,
+       send](const relay_answer& relayed) {
+        switch (relayed.state) {
+          case answer_state::kDone:
+            self->RaiseShownVersion(relayed.handled_by_version);
+            send(relayed.response);
+            return;
+          case answer_state::kNotDone:
+            answer(refusal);
+            return;
+          case answer_state::kUnknown:
+            answer(self->MakeRefusal(error_kind::kStoreUnknown,
+                                     "another entry process did not answer"));
+            return;
+        }
+      });
 }
 
 void caller_service::RouteCall(const sched::caller_call& call,
@@ -166,10 +269,6 @@
     answer(MakeRefusal(spec.error().kind, spec.error().detail));
     return;
   }
-  if (deps_.store.IsUnavailable()) {
-    answer(MakeRefusal(error_kind::kStoreUnavailable, "the store is away"));
-    return;
-  }
   sched::accepted_job job;
   job.id = id;
   job.queue = queue.name;
--- a/programs/entry/caller_service.h
+++ b/programs/entry/caller_service.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <string>
 
+#include "programs/entry/call_relay.h"
 #include "programs/entry/config_watch.h"
 #include "programs/entry/entry_settings.h"
 #include "programs/entry/platform_adapter.h"
@@ -35,6 +36,11 @@
     counter_table& counters;
     metrics& metrics_registry;
     std::function<instant()> now;  ///< Monotonic time.
+    /// Passes a call to another entry process; see call_relay.
+    std::function<void(const http_request& request,
+                       std::uint64_t min_version,
+                       std::function<void(relay_answer)> done)>
+        relay;
   };
 
   static std::shared_ptr<caller_service> Make(dependencies deps);
@@ -43,6 +49,9 @@
   /// another thread.
   void Handle(http_exchange exchange);
 
+  /// Like Handle(), for a call that another entry process has passed on.
+  void HandleRelayed(http_exchange exchange);
+
   /// Whether the load balancer should send new connections: the configuration
   /// is less than 2.5 s old and the store is available.
   bool IsReady() const;
@@ -54,7 +63,16 @@
   using reply = std::function<void(sched::caller_answer)>;
 
   explicit caller_service(dependencies deps);
-  reply BeginCall(http_exchange& exchange, const std::string& what);
+  reply BeginCall(const http_exchange& exchange,
+                  const std::string& what,
+                  bool may_relay);
+  void RaiseShownVersion(std::uint64_t version);
+  bool CanServe(std::uint64_t min_version) const;
+  bool ShouldRelay(const sched::caller_answer& answer, duration took) const;
+  void RelayCall(const http_request& request,
+                 const sched::caller_answer& refusal,
+                 const reply& answer,
+                 const http_reply& send);
   void RouteCall(const sched::caller_call& call, const reply& answer);
   std::optional<sched::caller_answer> CheckKey(
       const sched::caller_call& call,
@@ -79,6 +97,9 @@
 
   const dependencies deps_;
   std::atomic<int> calls_in_progress_{0};
+  // Highest version of the configuration by which a call to this process was
+  // handled. Callers must not see it fall.
+  std::atomic<std::uint64_t> shown_version_{0};
   mutable std::mutex random_mutex_;
   mutable random_engine random_;
 };
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -86,9 +86,21 @@
          owner_->OnConfig(std::move(config));
        },
        [this](const table_row& row) { owner_->OnOperatorRow(row); }});
-  callers_ =
-      caller_service::Make({adapter_, table_, store_, *config_, settings_,
-                            counters_, metrics_, SuspendAwareNow});
+  relay_ = call_relay::Make(
+      settings_.id.value, settings_.status, table_, counters_,
+      {SuspendAwareNow, after,
+       [this](const std::string& address, const http_request& request,
+              duration timeout, std::function<void(http_answer)> done) {
+         client_->Call(address, request, connection_choice::kPooled, timeout,
+                       std::move(done));
+       }});
+  callers_ = caller_service::Make(
+      {adapter_, table_, store_, *config_, settings_, counters_, metrics_,
+       SuspendAwareNow,
+       [this](const http_request& request, std::uint64_t min_version,
+              std::function<void(relay_answer)> done) {
+         relay_->Relay(request, min_version, std::move(done));
+       }});
   pages_ = std::make_unique<status_pages>(settings_.id.value, metrics_,
                                           *config_, store_, *owner_, *callers_);
   if (!Listen()) {
@@ -97,6 +109,7 @@
   WaitForSignals();
   config_->Start();
   owner_->Start();
+  relay_->Start();
   LogEvent("process_started",
            {{"callers", settings_.callers},
             {"place", settings_.place.value},
@@ -142,7 +155,11 @@
       [this](const http_exchange& exchange) { AnswerReadiness(exchange); });
   status_server_ =
       StartServer(settings_.status, [this](const http_exchange& exchange) {
-        exchange.reply(pages_->Answer(exchange.request.path));
+        if (!exchange.request.Header(kRelayedHeader).empty()) {
+          callers_->HandleRelayed(exchange);
+        } else {
+          exchange.reply(pages_->Answer(exchange.request.path));
+        }
       });
   return caller_server_ && readiness_server_ && status_server_;
 }
@@ -207,6 +224,7 @@
   LogEvent("process_stopping",
            {{"in_progress", std::to_string(callers_->CallsInProgress())}});
   caller_server_->DisableKeepAlive();
+  relay_->Stop();
   owner_->Stop([] { LogEvent("ownership_given_up", {}); });
   After(Scale(settings_.stop_grace, kDrainStartShareOfGrace), [this] {
     caller_server_->Drain();
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 
+#include "programs/entry/call_relay.h"
 #include "programs/entry/caller_service.h"
 #include "programs/entry/config_watch.h"
 #include "programs/entry/descriptor_budget.h"
@@ -68,6 +69,7 @@
   table_port table_;
   std::shared_ptr<config_watch> config_;
   std::shared_ptr<job_owner> owner_;
+  std::shared_ptr<call_relay> relay_;
   std::shared_ptr<caller_service> callers_;
   std::unique_ptr<status_pages> pages_;
   std::shared_ptr<http_server> caller_server_;
--- /dev/null
+++ b/tests/call_relay_test.cc
@@ -0,0 +1,347 @@
+#include "programs/entry/call_relay.h"
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "programs/entry/caller_service.h"
+#include "tests/fake_table.h"
+
+namespace sassafras {
+namespace {
+
+using namespace std::chrono_literals;
+
+const instant kStart = instant(1h);
+
+std::set<std::string> Addresses(int count) {
+  std::set<std::string> addresses;
+  for (int i = 0; i < count; ++i) {
+    addresses.insert("10.0.0." + std::to_string(i) + ":7000");
+  }
+  return addresses;
+}
+
+http_answer Answer(int status) {
+  http_answer answer;
+  answer.state = answer_state::kDone;
+  answer.response.status = status;
+  return answer;
+}
+
+TEST_CASE("A part of the entry processes is turned away by the store") {
+  entry_peers peers(7);
+  peers.SetPeers(Addresses(12));
+  instant now = kStart;
+
+  SECTION("nearly every caller is served by the third peer asked") {
+    // Four of the other twelve are turned away, too.
+    const auto can_serve = [](const std::string& address) {
+      return address >= "10.0.0.3:7000";
+    };
+    int served = 0;
+    for (int call = 0; call < 200; ++call) {
+      now += 40ms;
+      std::set<std::string> asked;
+      for (int attempt = 0; attempt < 3; ++attempt) {
+        const auto peer = peers.Choose(now, asked);
+        if (!peer) {
+          break;
+        }
+        asked.insert(*peer);
+        const bool is_served = can_serve(*peer);
+        peers.OnOutcome(
+            now, *peer,
+            is_served ? peer_outcome::kServed : peer_outcome::kRefused);
+        if (is_served) {
+          ++served;
+          break;
+        }
+      }
+    }
+    CHECK(served >= 195);
+  }
+  SECTION("if the store is away for all, few peers are asked") {
+    int asks = 0;
+    for (int call = 0; call < 250; ++call) {
+      now += 40ms;
+      if (const auto peer = peers.Choose(now, {})) {
+        ++asks;
+        peers.OnOutcome(now, *peer, peer_outcome::kRefused);
+      }
+    }
+    // In 10 s, at most one more than half of them in 0.7 s.
+    CHECK(asks <= 105);
+  }
+  SECTION("a silent peer is not asked again for seconds") {
+    const std::string silent = *peers.Choose(now, {});
+    peers.OnOutcome(now, silent, peer_outcome::kSilent);
+    for (int i = 0; i < 100; ++i) {
+      CHECK(peers.Choose(now + 2s, {}) != silent);
+    }
+  }
+  SECTION("no peer is asked twice for one call") {
+    CHECK_FALSE(peers.Choose(now, Addresses(12)));
+  }
+}
+
+// One relay, with its table, whose calls to peers the test answers.
+struct relay_world {
+  relay_world() {
+    call_relay::hooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.after = [this](duration, std::function<void()> action) {
+      delayed.push_back(std::move(action));
+    };
+    hooks.send = [this](const std::string& address, const http_request& request,
+                        duration, std::function<void(http_answer)> done) {
+      asked.push_back(address);
+      last_request = request;
+      done(answers.contains(address) ? answers.at(address) : http_answer{});
+    };
+    port = table.Port();
+    relay = call_relay::Make("front-1", "10.0.0.1:7000", port, counters, hooks);
+  }
+
+  void RunDelayed() {
+    for (const auto& action : std::exchange(delayed, {})) {
+      action();
+    }
+  }
+
+  relay_answer Relay(const std::string& method) {
+    http_request request;
+    request.method = method;
+    request.path = "/queue/5c0e7a21d94b36f8";
+    request.headers = {{"host", "a.example"}, {"content-length", "7"}};
+    std::optional<relay_answer> answer;
+    relay->Relay(request, 18, [&](relay_answer done) { answer = done; });
+    REQUIRE(answer);
+    return *answer;
+  }
+
+  instant now = kStart;
+  counter_table counters;
+  fake_table table;
+  table_port port;
+  std::vector<std::function<void()>> delayed;
+  std::vector<std::string> asked;
+  http_request last_request;
+  std::map<std::string, http_answer> answers;  // By address; else no answer.
+  std::shared_ptr<call_relay> relay;
+};
+
+TEST_CASE("Entry processes find each other in the store") {
+  relay_world world;
+  world.table.Commit({{"entries/front-2", 0, "10.0.0.2:7000"}});
+  world.relay->Start();
+  CHECK(world.table.Read("entries/front-1").value == "10.0.0.1:7000");
+
+  SECTION("a call is passed to one of the others, without its connection") {
+    world.answers["10.0.0.2:7000"] = Answer(200);
+    world.answers["10.0.0.2:7000"].response.headers[kHandledByVersionHeader] =
+        "19";
+    const relay_answer answer = world.Relay("POST");
+    CHECK(answer.state == answer_state::kDone);
+    CHECK(answer.handled_by_version == 19);
+    CHECK(answer.response.headers.empty());
+    CHECK(world.last_request.Header("host") == "a.example");
+    CHECK(world.last_request.Header("content-length").empty());
+    CHECK(world.last_request.Header(kRelayedHeader) == "18");
+  }
+  SECTION("a process that is gone for minutes is not asked") {
+    world.now += 301s;
+    world.RunDelayed();
+    world.Relay("GET");
+    CHECK(world.asked.empty());
+  }
+  SECTION("the row is erased at a graceful stop") {
+    world.RunDelayed();
+    world.relay->Stop();
+    CHECK(world.table.Read("entries/front-1").version == 0);
+  }
+}
+
+TEST_CASE("A call is passed on and no peer serves it") {
+  relay_world world;
+  world.table.Commit({{"entries/front-2", 0, "10.0.0.2:7000"}});
+  world.table.Commit({{"entries/front-3", 0, "10.0.0.3:7000"}});
+  world.relay->Start();
+
+  SECTION("both refuse: it has not run") {
+    world.answers["10.0.0.2:7000"] = Answer(503);
+    world.answers["10.0.0.3:7000"] = Answer(503);
+    CHECK(world.Relay("POST").state == answer_state::kNotDone);
+    CHECK(world.asked.size() == 2);
+  }
+  SECTION("a submission without an answer may have been accepted") {
+    CHECK(world.Relay("POST").state == answer_state::kUnknown);
+    CHECK(world.asked.size() == 1);
+  }
+  SECTION("a query without an answer is passed to the next one") {
+    CHECK(world.Relay("GET").state == answer_state::kNotDone);
+    CHECK(world.asked.size() == 2);
+  }
+}
+
+// The caller service of one entry process. Paths are "/queue/ID"; the text of a
+// configuration is its version.
+struct service_world {
+  service_world()
+      : store([this] { return now; }, counters), metrics_registry(counters) {
+    adapter.table = table.Port();
+    adapter.table.follow = [](const std::string&, std::uint64_t, duration,
+                              const std::function<void(follow_answer)>&) {};
+    adapter.config_table = "op/";
+    adapter.config_key = "op/config";
+    adapter.decode_evacuation = [](const table_row&) {
+      return std::optional<sched::evacuation_row>();
+    };
+    adapter.decode_config =
+        [](const std::string& text) -> result<sched::service_config> {
+      sched::service_config config;
+      config.version = std::stoull(text);
+      sched::job_queue queue;
+      queue.name = "queue";
+      queue.prefix = "/queue/";
+      queue.allows_anonymous_calls = true;
+      config.queues.push_back(queue);
+      return config;
+    };
+    adapter.decode_call = [](const http_request& request) {
+      sched::caller_call call;
+      call.verb = request.method == "POST" ? sched::caller_verb::kSubmit
+                                           : sched::caller_verb::kQuery;
+      call.path = request.path;
+      return call;
+    };
+    adapter.decode_job = [](const std::string&) -> result<sched::job_spec> {
+      return sched::job_spec{};
+    };
+    adapter.encode_answer = [](const sched::caller_answer& answer) {
+      http_response response;
+      response.status = answer.failure ? 503 : 200;
+      if (answer.failure == error_kind::kStoreUnknown) {
+        response.status = 504;
+      }
+      return response;
+    };
+    port = store.Wrap(table.Port());
+    config_watch::hooks hooks;
+    hooks.now = [this] { return now; };
+    hooks.after = [](duration, const std::function<void()>&) {};
+    hooks.on_config = [](const sched::service_config_ptr&) {};
+    hooks.on_row = [](const table_row&) {};
+    table.Commit({{"op/config", 0, "18"}});
+    config = config_watch::Make(adapter, counters, hooks);
+    config->Start();
+    service = caller_service::Make(
+        {adapter, port, store, *config, settings, counters, metrics_registry,
+         [this] { return now; },
+         [this](const http_request&, std::uint64_t min_version,
+                const std::function<void(relay_answer)>& done) {
+           relayed_with.push_back(min_version);
+           done(peer_answer);
+         }});
+  }
+
+  int Call(const std::string& method, const std::string& min_version = "") {
+    http_exchange exchange;
+    exchange.request.method = method;
+    exchange.request.path = "/queue/5c0e7a21d94b36f8";
+    int status = 0;
+    exchange.reply = [&](const http_response& response) {
+      status = response.status;
+      answer_headers = response.headers;
+    };
+    if (min_version.empty()) {
+      service->Handle(exchange);
+    } else {
+      exchange.request.headers[kRelayedHeader] = min_version;
+      service->HandleRelayed(exchange);
+    }
+    return status;
+  }
+
+  // Makes the store turn this process away, and lets it notice.
+  void LoseStore() {
+    table.is_down = true;
+    for (int i = 0; i < 2; ++i) {
+      port.read({"x/y"}, [](const read_answer&) {});
+    }
+  }
+
+  instant now = kStart;
+  counter_table counters;
+  fake_table table;
+  store_watch store;
+  metrics metrics_registry;
+  entry_settings settings;
+  platform_adapter adapter;
+  table_port port;
+  std::shared_ptr<config_watch> config;
+  std::shared_ptr<caller_service> service;
+  relay_answer peer_answer;
+  std::vector<std::uint64_t> relayed_with;
+  std::map<std::string, std::string> answer_headers;
+};
+
+TEST_CASE("A caller comes to a process that the store turns away") {
+  service_world world;
+  CHECK(world.Call("POST") == 200);
+  CHECK(world.relayed_with.empty());
+  world.LoseStore();
+
+  SECTION("it gets the answer of another process at once") {
+    world.peer_answer = {answer_state::kDone, {200}, 18};
+    CHECK(world.Call("POST") == 200);
+    CHECK(world.Call("GET") == 200);
+    CHECK(world.relayed_with == std::vector<std::uint64_t>{18, 18});
+
+    SECTION("a process that has no older configuration") {
+      world.peer_answer.handled_by_version = 19;
+      world.Call("GET");
+      world.Call("GET");
+      CHECK(world.relayed_with.back() == 19);
+    }
+    SECTION("and does not see an older one when the store is back") {
+      world.peer_answer.handled_by_version = 19;
+      world.Call("GET");
+      world.table.is_down = false;
+      world.port.read({"x/y"}, [](const read_answer&) {});
+      const std::size_t before = world.relayed_with.size();
+      CHECK(world.Call("GET") == 200);
+      CHECK(world.relayed_with.size() == before + 1);
+    }
+  }
+  SECTION("it is refused if no other process reaches the store") {
+    CHECK(world.Call("POST") == 503);
+  }
+  SECTION("its submission may have been accepted if the other is silent") {
+    world.peer_answer.state = answer_state::kUnknown;
+    CHECK(world.Call("POST") == 504);
+  }
+}
+
+TEST_CASE("A process gets a call that another one has passed on") {
+  service_world world;
+
+  SECTION("it serves it and states by which configuration") {
+    CHECK(world.Call("POST", "18") == 200);
+    CHECK(world.answer_headers.at(kHandledByVersionHeader) == "18");
+  }
+  SECTION("it refuses it if its configuration is older") {
+    CHECK(world.Call("POST", "19") == 503);
+  }
+  SECTION("it does not pass it on again") {
+    world.LoseStore();
+    CHECK(world.Call("POST", "18") == 503);
+    CHECK(world.relayed_with.empty());
+  }
+}
+
+}  // namespace
+}  // namespace sassafras
