Suppress routine log lines before others

Change: a routine line, such as the start of a single task, may use half of the limit only. The limit stays.

--- a/include/sassafras/telemetry/log.h
+++ b/include/sassafras/telemetry/log.h
@@ -7,6 +7,8 @@
 #include <string_view>
 #include <utility>
 
+#include "sassafras/telemetry/log_rate_limiter.h"
+
 namespace sassafras {
 
 /// Names and values of the fields of a log line, in output order.
@@ -33,8 +35,10 @@
 
 /// Writes a line like LogEvent(), for decisions on single requests, jobs and
 /// runs. Lines above the rate limit are suppressed, and their count is logged
-/// with the first call in a later second.
-void LogDecision(std::string_view event, log_fields fields);
+/// with the first call in a later second. Routine lines are suppressed first.
+void LogDecision(std::string_view event,
+                 log_fields fields,
+                 line_weight weight = line_weight::kNormal);
 
 /// Returns the number of lines dropped so far by the rate limit (as far as it
 /// was logged) or by a full queue.
--- a/include/sassafras/telemetry/log_rate_limiter.h
+++ b/include/sassafras/telemetry/log_rate_limiter.h
@@ -8,8 +8,14 @@
 
 namespace sassafras {
 
+/// Weight of a log line when there are too many.
+enum class line_weight : std::uint8_t {
+  kNormal,
+  kRoutine,  ///< Suppressed first.
+};
+
 /// Limits the number of log lines in each second and counts the suppressed
-/// ones. Not thread-safe.
+/// ones. Routine lines use at most half of the limit. Not thread-safe.
 class log_rate_limiter {
  public:
   /// Allows `lines_per_second` lines in each second of the clock.
@@ -17,7 +23,7 @@
 
   /// Returns whether a line may be written at `now`, and counts it as written
   /// or suppressed.
-  bool TryAcquire(instant now);
+  bool TryAcquire(instant now, line_weight weight = line_weight::kNormal);
 
   /// Returns and resets the number of lines suppressed in the seconds before
   /// the one of `now`. Empty if there were none.
@@ -30,6 +36,7 @@
   int lines_per_second_;
   instant current_second_;  ///< Start of the second being counted.
   int lines_this_second_ = 0;
+  int routine_lines_this_second_ = 0;
   std::uint64_t suppressed_this_second_ = 0;
   std::uint64_t unreported_suppressed_ = 0;
 };
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -113,13 +113,15 @@
   BOOST_LOG(logger) << line.str();
 }
 
-void LogDecision(std::string_view event, log_fields fields) {
+void LogDecision(std::string_view event,
+                 log_fields fields,
+                 line_weight weight) {
   bool may_write = false;
   std::optional<std::uint64_t> suppressed_count;
   {
     const std::lock_guard lock(State().mutex);
     const instant now = Now();
-    may_write = State().decision_limiter.TryAcquire(now);
+    may_write = State().decision_limiter.TryAcquire(now, weight);
     suppressed_count = State().decision_limiter.TakeSuppressedCount(now);
   }
   if (suppressed_count) {
--- a/src/telemetry/log_rate_limiter.cc
+++ b/src/telemetry/log_rate_limiter.cc
@@ -15,16 +15,20 @@
   }
   current_second_ = second;
   lines_this_second_ = 0;
+  routine_lines_this_second_ = 0;
   unreported_suppressed_ += std::exchange(suppressed_this_second_, 0);
 }
 
-bool log_rate_limiter::TryAcquire(instant now) {
+bool log_rate_limiter::TryAcquire(instant now, line_weight weight) {
   AdvanceTo(now);
-  if (lines_this_second_ >= lines_per_second_) {
+  const bool is_routine = weight == line_weight::kRoutine;
+  if (lines_this_second_ >= lines_per_second_ ||
+      (is_routine && routine_lines_this_second_ >= lines_per_second_ / 2)) {
     ++suppressed_this_second_;
     return false;
   }
   ++lines_this_second_;
+  routine_lines_this_second_ += is_routine ? 1 : 0;
   return true;
 }
 
--- a/tests/log_rate_limiter_test.cc
+++ b/tests/log_rate_limiter_test.cc
@@ -24,6 +24,16 @@
     CHECK(limiter.TakeSuppressedCount(now + 1s) == 2);
     CHECK_FALSE(limiter.TakeSuppressedCount(now + 1s));
   }
+  SECTION("routine lines leave half of the limit to the others") {
+    log_rate_limiter busy_limiter(4);
+    const line_weight routine = line_weight::kRoutine;
+    CHECK(busy_limiter.TryAcquire(now, routine));
+    CHECK(busy_limiter.TryAcquire(now, routine));
+    CHECK_FALSE(busy_limiter.TryAcquire(now, routine));
+    CHECK(busy_limiter.TryAcquire(now));
+    CHECK(busy_limiter.TryAcquire(now));
+    CHECK_FALSE(busy_limiter.TryAcquire(now));
+  }
   SECTION("a limit of 0 suppresses and counts every line") {
     log_rate_limiter zero_limiter(0);
     CHECK_FALSE(zero_limiter.TryAcquire(now));
