Let each mechanism be switched off in the settings, to measure it

`policy:` in the settings takes fourteen switches, all on by default and checked like other keys; a switch on which a promise depends is not offered. Lines about starts and ends of single tasks count as routine.

--- a/include/sassafras/sched/placement.h
+++ b/include/sassafras/sched/placement.h
@@ -77,7 +77,8 @@
 struct placement_limits {
   bool may_leave_rack = false;  ///< May ignore wants_one_rack and data_rack.
   bool may_evict = false;       ///< May use resources of `evictable` runs.
-  bool is_urgent = false;       ///< Tries racks in reverse order.
+  bool is_urgent = false;       ///< Uses minions on probation last.
+  bool fills_from_end = false;  ///< Tries racks in reverse order.
   bool requires_proof = false;  ///< Uses only minions that are proven.
   /// Minions on which the request has failed; they are used last. May be null.
   const std::set<std::string>* failed_on = nullptr;
--- /dev/null
+++ b/include/sassafras/sched/policy_switches.h
@@ -0,0 +1,54 @@
+#ifndef SASSAFRAS_SCHED_POLICY_SWITCHES_H_
+#define SASSAFRAS_SCHED_POLICY_SWITCHES_H_
+
+#include <array>
+#include <string_view>
+
+namespace sassafras::sched {
+
+/// Mechanisms that can be switched off one by one, to measure what each is
+/// worth. No promise to callers depends on any of them. All are on by default.
+struct policy_switches {
+  // Decisions of work_core.
+  bool move_stalled_runs = true;    ///< Runs without progress start elsewhere.
+  bool detect_stalls_early = true;  ///< Sooner where a second sign is seen.
+  bool prefer_proven_minions = true;  ///< For urgent units while minions hang.
+  bool avoid_slow_minions = true;
+  bool avoid_failing_minions = true;
+  bool leave_draining_minions = true;  ///< Runs that cannot end there in time.
+  bool separate_urgent_racks = true;  ///< Urgent units fill racks from the end.
+  bool wait_for_one_rack = true;      ///< Steps that are slower when spread.
+  bool batch_records = true;          ///< Of jobs that are not urgent.
+  // Behaviour of the entry process.
+  bool pace_decisions = true;       ///< A pause after each decision.
+  bool adapt_lease_term = true;     ///< Longer terms while the store is slow.
+  bool hand_over_ownership = true;  ///< To processes with more processor time.
+  bool suspend_tenure = true;       ///< Rather than end it, on a late renewal.
+  bool relay_calls = true;          ///< While the store turns this one away.
+};
+
+struct policy_switch_info {
+  std::string_view name;  ///< Key in the settings, under "policy".
+  bool policy_switches::*value;
+};
+
+inline constexpr std::array<policy_switch_info, 14> kPolicySwitches = {{
+    {"move_stalled_runs", &policy_switches::move_stalled_runs},
+    {"detect_stalls_early", &policy_switches::detect_stalls_early},
+    {"prefer_proven_minions", &policy_switches::prefer_proven_minions},
+    {"avoid_slow_minions", &policy_switches::avoid_slow_minions},
+    {"avoid_failing_minions", &policy_switches::avoid_failing_minions},
+    {"leave_draining_minions", &policy_switches::leave_draining_minions},
+    {"separate_urgent_racks", &policy_switches::separate_urgent_racks},
+    {"wait_for_one_rack", &policy_switches::wait_for_one_rack},
+    {"batch_records", &policy_switches::batch_records},
+    {"pace_decisions", &policy_switches::pace_decisions},
+    {"adapt_lease_term", &policy_switches::adapt_lease_term},
+    {"hand_over_ownership", &policy_switches::hand_over_ownership},
+    {"suspend_tenure", &policy_switches::suspend_tenure},
+    {"relay_calls", &policy_switches::relay_calls},
+}};
+
+}  // namespace sassafras::sched
+
+#endif  // SASSAFRAS_SCHED_POLICY_SWITCHES_H_
--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -16,6 +16,7 @@
 #include "sassafras/sched/job_codec.h"
 #include "sassafras/sched/job_model.h"
 #include "sassafras/sched/minion_orders.h"
+#include "sassafras/sched/policy_switches.h"
 #include "sassafras/sched/service_config.h"
 
 namespace sassafras::sched {
@@ -37,6 +38,7 @@
   /// nothing is started, since any may have been evacuated meanwhile. 0: no
   /// limit.
   duration max_evacuation_age{0};
+  policy_switches policy;
 };
 
 /// A decision or an observation of the core, for the log.
@@ -46,6 +48,8 @@
   std::string task;  ///< "OCCURRENCE.STEP.INDEX#RUN", or empty.
   std::string minion;
   std::string detail;  ///< Reason or figures; free text.
+  /// Start or success of a single task, of which there are many.
+  bool is_routine = false;
 };
 
 /// Actions that the owner process carries out, in this order.
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -163,7 +163,8 @@
 // store or of a configuration, unless the caller has been held up already.
 bool caller_service::ShouldRelay(const caller_answer& answer,
                                  duration took) const {
-  return deps_.relay && took < kMaxTimeBeforeRelay &&
+  return deps_.relay && deps_.settings.policy.relay_calls &&
+         took < kMaxTimeBeforeRelay &&
          (answer.failure == error_kind::kStoreUnavailable ||
           answer.failure == error_kind::kNoConfiguration);
 }
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -120,6 +120,12 @@
         reader.ReadMap("bounds", [&](yaml_reader& bounds) {
           ReadDurationBounds(bounds, settings);
         });
+        reader.ReadMap("policy", [&](yaml_reader& policy) {
+          for (const sched::policy_switch_info& info : sched::kPolicySwitches) {
+            settings.policy.*info.value =
+                policy.ReadBool(std::string(info.name), true);
+          }
+        });
       });
   return parsed;
 }
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -7,6 +7,7 @@
 #include "sassafras/config/config_fault.h"
 #include "sassafras/core/id.h"
 #include "sassafras/core/time.h"
+#include "sassafras/sched/policy_switches.h"
 
 namespace sassafras {
 
@@ -39,6 +40,7 @@
   duration stop_grace{6'000'000};  ///< From the stop signal to the kill.
   /// Time for which callers can ask for the state of an ended job.
   duration state_time{120'000'000};
+  sched::policy_switches policy;
 };
 
 /// Settings as far as they could be read, and all faults of the file.
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -45,6 +45,7 @@
                                     int max_long_polls) {
   sched::work_options options;
   options.max_long_polls = max_long_polls;
+  options.policy = settings.policy;
   options.max_lease = settings.max_lease;
   options.stop_time = settings.stop_time;
   options.checkpoint_interval = settings.checkpoint_interval;
@@ -93,9 +94,13 @@
   options.holder = settings_.id;
   options.incarnation = MakeIncarnation();
   options.term = kLeaseTerm;
-  options.max_term = kMaxLeaseTerm;
+  if (settings_.policy.adapt_lease_term) {
+    options.max_term = kMaxLeaseTerm;
+  }
   options.is_id_exclusive = true;
-  options.capacity = settings_.processor_share;
+  if (settings_.policy.hand_over_ownership) {
+    options.capacity = settings_.processor_share;
+  }
   if (settings_.processor_share < kLowProcessorShare) {
     options.acquire_delay = kLowShareAcquireDelay;
   }
@@ -277,7 +282,8 @@
 void job_owner::EndTenureIfSuperseded() {
   {
     const std::lock_guard lock(mutex_);
-    if (!core_ || is_owner_ || lease_->IsHeld()) {
+    if (!core_ || is_owner_ ||
+        (settings_.policy.suspend_tenure && lease_->IsHeld())) {
       return;
     }
   }
--- a/programs/entry/job_owner_orders.cc
+++ b/programs/entry/job_owner_orders.cc
@@ -90,7 +90,9 @@
   }
   ExecuteActions(tenure, std::move(actions));
   const std::lock_guard lock(mutex_);
-  pace_.RecordDecision(began, hooks_.now());
+  if (settings_.policy.pace_decisions) {
+    pace_.RecordDecision(began, hooks_.now());
+  }
 }
 
 // Sends the orders and the commit of one decision. The lease is checked before
@@ -98,10 +100,13 @@
 void job_owner::ExecuteActions(std::uint64_t tenure,
                                sched::work_actions actions) {
   for (const sched::log_event& entry : actions.log_events) {
-    LogDecision(entry.event, {{"job", entry.job},
-                              {"task", entry.task},
-                              {"minion", entry.minion},
-                              {"detail", entry.detail}});
+    LogDecision(
+        entry.event,
+        {{"job", entry.job},
+         {"task", entry.task},
+         {"minion", entry.minion},
+         {"detail", entry.detail}},
+        entry.is_routine ? line_weight::kRoutine : line_weight::kNormal);
   }
   RecordTakeoverTimes(actions);
   for (sched::start_order& order : actions.starts) {
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -89,7 +89,7 @@
 // Urgent and other work fill the racks from opposite ends of their order, so
 // that they share racks only when few are free.
 std::size_t placement_search::RackAtPosition(std::size_t position) const {
-  return limits_.is_urgent ? fleet_.RackCount() - 1 - position : position;
+  return limits_.fills_from_end ? fleet_.RackCount() - 1 - position : position;
 }
 
 minion_candidate placement_search::MakeCandidate(std::size_t index,
@@ -144,7 +144,7 @@
     return left.next_loss < right.next_loss;
   }
   if (left.rank != right.rank) {
-    return (left.rank < right.rank) != limits_.is_urgent;
+    return (left.rank < right.rank) != limits_.fills_from_end;
   }
   if (left.free.accelerators != right.free.accelerators) {
     return left.free.accelerators < right.free.accelerators;
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -294,8 +294,10 @@
                                const std::string& job,
                                const std::string& task,
                                const std::string& minion,
-                               std::string detail) {
-  actions_.log_events.push_back({event, job, task, minion, std::move(detail)});
+                               std::string detail,
+                               bool is_routine) {
+  actions_.log_events.push_back(
+      {event, job, task, minion, std::move(detail), is_routine});
 }
 
 const std::string& work_core::impl::ServiceOf(const job_entry& entry) const {
--- a/src/sched/work_draining.cc
+++ b/src/sched/work_draining.cc
@@ -56,7 +56,8 @@
     const bool ends_in_time =
         RemainingTimeOf(now, *ref.job, *ref.unit) + kDrainMargin <
         minion.drain_deadline - now;
-    return ref.Step().is_persistent || !ends_in_time;
+    return ref.Step().is_persistent ||
+           (!ends_in_time && options_.policy.leave_draining_minions);
   };
   for (const run_key& run : RunsWhere(minion, must_stop)) {
     const member_ref ref = FindMember(run, minion.report.id);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -201,7 +201,7 @@
                    duration base_pause = std::chrono::seconds(2));
 
   // work_placing.cc
-  static bool CanSpreadOverRacks(instant now, const unit_ref& waiting);
+  bool CanSpreadOverRacks(instant now, const unit_ref& waiting) const;
   bool IsAtLeastAsHardToPlace(instant now,
                               const unit_ref& unit,
                               const unit_ref& unplaced) const;
@@ -309,9 +309,9 @@
   // work_progress.cc
   void UpdateSpeed(instant now, minion_entry& minion, const member_ref& ref);
   static int LeadOfPeers(const work_unit& unit, const unit_member& member);
-  static bool IsMemberStalled(const unit_ref& ref,
-                              const unit_member& member,
-                              bool has_alert);
+  bool IsMemberStalled(const unit_ref& ref,
+                       const unit_member& member,
+                       bool has_alert) const;
   void MoveStalledRun(instant now,
                       const std::string& minion,
                       const member_ref& ref);
@@ -326,7 +326,8 @@
                 const std::string& job,
                 const std::string& task,
                 const std::string& minion,
-                std::string detail);
+                std::string detail,
+                bool is_routine = false);
 
   const work_options options_;
   const std::uint64_t fence_;
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -236,7 +236,8 @@
     const member_ref ref = FindMember(end.run, minion.report.id);
     LogEvent("run_ended", end.run.task.job, FormatRun(end.run),
              minion.report.id,
-             std::string(GetName(end.how)) + DescribeRunTime(now, ref));
+             std::string(GetName(end.how)) + DescribeRunTime(now, ref),
+             end.how == run_end::kDone);
     if (ref.member != nullptr) {
       HandleEnd(now, minion, ref, end);
     } else {
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -164,7 +164,11 @@
   return false;
 }
 
-bool work_core::impl::CanSpreadOverRacks(instant now, const unit_ref& waiting) {
+bool work_core::impl::CanSpreadOverRacks(instant now,
+                                         const unit_ref& waiting) const {
+  if (!options_.policy.wait_for_one_rack) {
+    return true;
+  }
   const auto max_wait = std::chrono::duration_cast<duration>(
       waiting.Step().estimate * kOneRackWaitShare);
   return now - waiting.unit->waiting_since > max_wait;
@@ -262,7 +266,8 @@
     const work_unit& unit,
     fleet_view& fleet,
     placement_limits limits) {
-  if (job.accepted.priority != 0 || !stall_alert_.IsRaised(now)) {
+  if (job.accepted.priority != 0 || !stall_alert_.IsRaised(now) ||
+      !options_.policy.prefer_proven_minions) {
     return std::nullopt;
   }
   MarkProvenMinions(now, fleet);
@@ -289,6 +294,8 @@
   }
   placement_limits limits;
   limits.is_urgent = job.accepted.priority == 0;
+  limits.fills_from_end =
+      limits.is_urgent && options_.policy.separate_urgent_racks;
   limits.may_leave_rack = CanSpreadOverRacks(now, {&job, &unit});
   limits.failed_on = &unit.failed_on;
   auto minion_indices = FindProvenMinions(now, job, unit, fleet, limits);
@@ -348,7 +355,8 @@
                std::to_string(unit.run),
            unit.members.front().incarnation.id,
            "tasks " + std::to_string(unit.width) + " waited_ms " +
-               std::to_string((now - unit.waiting_since).count() / 1000));
+               std::to_string((now - unit.waiting_since).count() / 1000),
+           unit.width == 1);
 }
 
 void work_core::impl::RecordRun(job_entry& job, work_unit& unit) {
--- a/src/sched/work_progress.cc
+++ b/src/sched/work_progress.cc
@@ -89,7 +89,7 @@
 // moving discards its work, which cost more than it gained.
 bool work_core::impl::IsMemberStalled(const unit_ref& ref,
                                       const unit_member& member,
-                                      bool has_alert) {
+                                      bool has_alert) const {
   const step_spec& step = ref.Step();
   if (member.phase != member_phase::kRunning || step.is_persistent ||
       step.is_filler) {
@@ -109,8 +109,10 @@
   progress.progressing_for = stands_since - began;
   progress.standing_for = member.load_at - stands_since;
   progress.estimate = step.estimate;
-  progress.behind_peers = LeadOfPeers(*ref.unit, member);
-  progress.has_alert = has_alert;
+  if (options_.policy.detect_stalls_early) {
+    progress.behind_peers = LeadOfPeers(*ref.unit, member);
+    progress.has_alert = has_alert;
+  }
   return IsStalled(progress);
 }
 
@@ -131,14 +133,15 @@
       continue;
     }
     minion_entry& minion = found->second;
-    if (minion.trust.IsSlow()) {
+    if (minion.trust.IsSlow() && options_.policy.avoid_slow_minions) {
       AvoidMinion(now, minion,
                   "its runs progress much more slowly than estimated",
                   kSlowMinionPause);
       minion.trust.ResetSpeed();
     }
     for (const auto& [run, ref] : minion.members) {
-      if (ref.unit->phase == unit_phase::kActive &&
+      if (options_.policy.move_stalled_runs &&
+          ref.unit->phase == unit_phase::kActive &&
           IsMemberStalled({ref.job, ref.unit}, *ref.member, has_alert)) {
         stalled_runs.emplace_back(id, run);
       }
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -56,7 +56,8 @@
   std::vector<job_entry*> changed;
   changed.reserve(changed_jobs_.size());
   for (const auto& [id, job] : changed_jobs_) {
-    const bool is_urgent = job->accepted.priority == 0 || job->IsEnded();
+    const bool is_urgent = job->accepted.priority == 0 || job->IsEnded() ||
+                           !options_.policy.batch_records;
     if (is_urgent || now >= job->next_write) {
       changed.push_back(job);
     }
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -283,7 +283,8 @@
              Describe(cause, detail) + " priority " +
                  std::to_string(job.accepted.priority) + " width " +
                  std::to_string(unit.width) + " lost_core_s " +
-                 std::to_string(std::llround(lost)));
+                 std::to_string(std::llround(lost)),
+             cause == close_cause::kDone && unit.width == 1);
   }
   for (unit_member& member : unit.members) {
     if (member.phase == member_phase::kPlanned) {
@@ -353,7 +354,8 @@
                                 const listed_end& end) {
   job_entry& job = *ref.job;
   work_unit& unit = *ref.unit;
-  if (minion.trust.OnEnd(now, job.accepted.id, end.how)) {
+  if (minion.trust.OnEnd(now, job.accepted.id, end.how) &&
+      options_.policy.avoid_failing_minions) {
     AvoidMinion(now, minion,
                 "runs of several jobs failed on it without a success");
   }
--- a/tests/entry_settings_test.cc
+++ b/tests/entry_settings_test.cc
@@ -29,6 +29,17 @@
   CHECK(parsed.settings.descriptors == 4100);
 }
 
+TEST_CASE("Mechanisms are on unless the settings switch them off") {
+  const auto parsed = ParseEntrySettings(
+      "s.yaml", kCompleteSettings + "policy:\n  relay_calls: false\n");
+  REQUIRE(parsed.faults.empty());
+  CHECK_FALSE(parsed.settings.policy.relay_calls);
+  CHECK(parsed.settings.policy.move_stalled_runs);
+  const auto unknown = ParseEntrySettings(
+      "s.yaml", kCompleteSettings + "policy:\n  relay_cals: false\n");
+  CHECK(unknown.faults.size() == 1);
+}
+
 TEST_CASE("File descriptors are divided among kinds of connections") {
   const descriptor_budget budget = DivideDescriptors(4100);
 
--- a/tests/sched_placement_test.cc
+++ b/tests/sched_placement_test.cc
@@ -72,8 +72,10 @@
   std::vector<minion_view> views = Fleet(3, 2);
   step_spec step = Step(8);
   const auto rack_of = [&](bool is_urgent) {
-    const auto minions =
-        PlaceTasks(step, 2, fleet_view(views), {false, false, is_urgent});
+    placement_limits limits;
+    limits.is_urgent = is_urgent;
+    limits.fills_from_end = is_urgent;
+    const auto minions = PlaceTasks(step, 2, fleet_view(views), limits);
     REQUIRE(minions);
     return views[minions->front()].rack;
   };
