End a suspended tenure under one lock, and show evacuated data centres

Cause: between the check that no other process holds the lease and the end of the tenure, another thread could resume it; found by reading. An evacuated data centre without minions left no trace.

--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -179,7 +179,10 @@
 
 void job_owner::Stop(std::function<void()> done) {
   OnLost();
-  EndTenure();
+  {
+    const std::lock_guard lock(mutex_);
+    EndTenure();
+  }
   lease_->Stop(std::move(done));
 }
 
@@ -280,18 +283,16 @@
 }
 
 void job_owner::EndTenureIfSuperseded() {
-  {
-    const std::lock_guard lock(mutex_);
-    if (!core_ || is_owner_ ||
-        (settings_.policy.suspend_tenure && lease_->IsHeld())) {
-      return;
-    }
+  const std::lock_guard lock(mutex_);
+  const bool may_resume = settings_.policy.suspend_tenure && lease_->IsHeld();
+  if (!is_owner_ && !may_resume) {
+    EndTenure();
   }
-  EndTenure();
 }
 
+// Called with the lock held.
 void job_owner::EndTenure() {
-  const std::lock_guard lock(mutex_);
+  is_owner_ = false;
   core_.reset();
   upkeep_.reset();
 }
--- a/programs/entry/status_pages.cc
+++ b/programs/entry/status_pages.cc
@@ -129,7 +129,8 @@
                  {"is_owner", owner_.IsOwner()},
                  {"config_version", config ? config->version : 0},
                  {"config_age_ms", ConfigAgeMs(config_)},
-                 {"store_away", store_.IsUnavailable()}};
+                 {"store_away", store_.IsUnavailable()},
+                 {"evacuated", config_.Evacuations().Places()}};
   if (const auto work = owner_.Summary()) {
     json minions = json::array();
     for (const sched::minion_status& row : owner_.Minions()) {
--- a/src/sched/work_draining.cc
+++ b/src/sched/work_draining.cc
@@ -71,19 +71,24 @@
 // Minions of data centres whose evacuation begins or ends are handled anew, and
 // waiting jobs are placed again.
 void work_core::impl::SetEvacuations(const evacuations& evacuated) {
-  const bool is_same = evacuated.Places() == evacuations_.Places();
   const std::set<std::string> before = evacuations_.Places();
   evacuations_ = evacuated;
-  if (is_same) {
+  const std::set<std::string>& places = evacuations_.Places();
+  if (places == before) {
     return;
   }
   should_place_ = true;
+  std::set<std::string> without_minions = places;
   for (auto& [id, minion] : minions_) {
-    if (before.contains(minion.report.zone) !=
-        evacuations_.Places().contains(minion.report.zone)) {
+    const std::string& place = minion.report.zone;
+    without_minions.erase(place);
+    if (before.contains(place) != places.contains(place)) {
       MarkDirty(minion);
     }
   }
+  for (const std::string& place : without_minions) {
+    LogEvent("evacuated_without_minions", "", "", "", place);
+  }
 }
 
 // Returns whether the evacuated data centres are known well enough to start
