--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -116,8 +116,8 @@
                                                 bool may_relay) {
   ++calls_in_progress_;
   const instant began = deps_.now();
-  const reply finish = [self = shared_from_this(), send = exchange.reply, what,
-                        began](const caller_answer& answer) {
+  reply finish = [self = shared_from_this(), send = exchange.reply, what,
+                  began](const caller_answer& answer) {
     --self->calls_in_progress_;
     const duration took = self->deps_.now() - began;
     const std::string outcome(
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -24,6 +24,7 @@
 // Prefixes of the rows of all jobs.
 std::vector<std::string> JobPrefixes() {
   std::vector<std::string> prefixes;
+  prefixes.reserve(sched::kJobParts);
   for (int part = 0; part < sched::kJobParts; ++part) {
     prefixes.push_back(sched::JobPartPrefix(part));
   }
