Let an entry process know sixteen peers, whatever the size of the fleet

Cause: each read the rows of all others every 5 s: 6 kB a second a process at 300 machines, while control may take 2 kB.

Change: rows are in the order of a digest of the id; a process reads the sixteen that follow its own, so that the peers of each are anywhere.

--- a/programs/entry/call_relay.cc
+++ b/programs/entry/call_relay.cc
@@ -3,11 +3,12 @@
 #include <array>
 #include <charconv>
 #include <chrono>
+#include <cstddef>
 #include <random>
 #include <string_view>
 #include <utility>
 
-#include "sassafras/net/table_scan.h"
+#include "sassafras/core/digest.h"
 #include "sassafras/telemetry/log.h"
 
 namespace sassafras {
@@ -17,6 +18,9 @@
 
 constexpr duration kReadInterval = 5s;
 constexpr duration kRetryDelay = 500ms;
+// Limit of known peers. A third of them may be turned away, too.
+constexpr std::size_t kMaxPeers = 16;
+constexpr std::size_t kKeyDigits = 8;
 // A process writes its row anew at this interval. Rows that have not changed
 // for longer than the second time are of processes that are gone.
 constexpr duration kRegisterInterval = 60s;
@@ -53,6 +57,10 @@
 
 }  // namespace
 
+std::string EntryKey(const std::string& id) {
+  return kEntryTable + Sha256Hex(id).substr(0, kKeyDigits) + "-" + id;
+}
+
 std::uint64_t ParseRelayedVersion(const std::string& text) {
   std::uint64_t version = 0;
   const auto parsed =
@@ -60,21 +68,21 @@
   return parsed.ec == std::errc() ? version : 0;
 }
 
-std::shared_ptr<call_relay> call_relay::Make(std::string id,
+std::shared_ptr<call_relay> call_relay::Make(const std::string& id,
                                              std::string address,
                                              const table_port& table,
                                              counter_table& counters,
                                              hooks hooks) {
   return std::shared_ptr<call_relay>(new call_relay(
-      std::move(id), std::move(address), table, counters, std::move(hooks)));
+      id, std::move(address), table, counters, std::move(hooks)));
 }
 
-call_relay::call_relay(std::string id,
+call_relay::call_relay(const std::string& id,
                        std::string address,
                        const table_port& table,
                        counter_table& counters,
                        hooks hooks)
-    : id_(std::move(id)),
+    : key_(EntryKey(id)),
       address_(std::move(address)),
       table_(table),
       counters_(counters),
@@ -93,7 +101,7 @@
     version = own_version_;
   }
   if (version != 0) {
-    table_.commit({{kEntryTable + id_, version, "", true}},
+    table_.commit({{key_, version, "", true}},
                   [self = shared_from_this()](const commit_answer& answer) {
                     self->counters_.Add(answer.state == answer_state::kDone
                                             ? "entry_row_erased"
@@ -102,71 +110,94 @@
   }
 }
 
+// Reads this process's row, then the rows that follow it, from the beginning
+// again after the last one.
 void call_relay::ReadPeers() {
-  ScanAll(table_, kEntryTable,
-          [self = shared_from_this()](const read_answer& answer) {
-            const bool is_read = answer.state == answer_state::kDone;
-            if (is_read) {
-              self->ApplyRows(answer);
-            }
-            self->hooks_.after(is_read ? kReadInterval : kRetryDelay,
-                               [weak = self->weak_from_this()] {
-                                 if (const auto alive = weak.lock()) {
-                                   alive->ReadPeers();
-                                 }
-                               });
-          });
+  table_.read({key_}, [self = shared_from_this()](const read_answer& answer) {
+    if (answer.state != answer_state::kDone) {
+      self->ScheduleRead(kRetryDelay);
+      return;
+    }
+    self->ReadRows(self->key_, answer.rows);
+  });
+}
+
+void call_relay::ReadRows(const std::string& after,
+                          std::vector<table_row> rows) {
+  table_.scan(
+      kEntryTable, after, kMaxPeers + 2 - rows.size(),
+      [self = shared_from_this(), after, rows](const read_answer& page) {
+        if (page.state != answer_state::kDone) {
+          self->ScheduleRead(kRetryDelay);
+          return;
+        }
+        std::vector<table_row> read = rows;
+        for (const table_row& row : page.rows) {
+          if (row.key != self->key_ && read.size() <= kMaxPeers) {
+            read.push_back(row);
+          }
+        }
+        if (read.size() <= kMaxPeers && !after.empty()) {
+          self->ReadRows("", std::move(read));
+          return;
+        }
+        self->ApplyRows(read);
+        self->ScheduleRead(kReadInterval);
+      });
 }
 
-void call_relay::ApplyRows(const read_answer& answer) {
+void call_relay::ScheduleRead(duration delay) {
+  hooks_.after(delay, [weak = weak_from_this()] {
+    if (const auto alive = weak.lock()) {
+      alive->ReadPeers();
+    }
+  });
+}
+
+// Applies the rows that were read: first that of this process, which may be
+// absent, then those of its peers.
+void call_relay::ApplyRows(const std::vector<table_row>& rows) {
+  const table_row& own = rows.front();
   std::set<std::string> addresses;
   std::map<std::string, std::pair<std::uint64_t, instant>> seen;
-  std::uint64_t own_version = 0;
   bool should_register = false;
   {
     const std::lock_guard lock(mutex_);
     const instant now = hooks_.now();
-    bool is_own_row_current = false;
-    for (const table_row& row : answer.rows) {
-      if (row.key == kEntryTable + id_) {
-        own_version = row.version;
-        is_own_row_current = row.value == address_;
-        continue;
-      }
-      const auto before = seen_.find(row.key);
+    for (auto row = rows.begin() + 1; row != rows.end(); ++row) {
+      const auto before = seen_.find(row->key);
       const bool is_same =
-          before != seen_.end() && before->second.first == row.version;
+          before != seen_.end() && before->second.first == row->version;
       const instant since = is_same ? before->second.second : now;
-      seen[row.key] = {row.version, since};
+      seen[row->key] = {row->version, since};
       if (now - since <= kMaxRowAge) {
-        addresses.insert(row.value);
+        addresses.insert(row->value);
       }
     }
     seen_ = std::move(seen);
     peers_.SetPeers(std::move(addresses));
-    own_version_ = own_version;
+    own_version_ = own.version;
     should_register =
         !is_stopping_ &&
-        (!is_own_row_current || now - registered_at_ > kRegisterInterval);
+        (own.value != address_ || now - registered_at_ > kRegisterInterval);
     if (should_register) {
       registered_at_ = now;
     }
   }
   if (should_register) {
-    Register(own_version);
+    Register(own.version);
   }
 }
 
 void call_relay::Register(std::uint64_t version) {
-  table_.commit({{kEntryTable + id_, version, address_}},
+  table_.commit({{key_, version, address_}},
                 [self = shared_from_this()](const commit_answer& answer) {
                   if (answer.state != answer_state::kDone) {
                     self->counters_.Add("entry_row_not_written");
                     return;  // The next read of the rows shows whether it is.
                   }
                   const std::lock_guard lock(self->mutex_);
-                  const table_row* row =
-                      FindRow(answer.rows, kEntryTable + self->id_);
+                  const table_row* row = FindRow(answer.rows, self->key_);
                   self->own_version_ = row == nullptr ? 0 : row->version;
                 });
 }
--- a/programs/entry/call_relay.h
+++ b/programs/entry/call_relay.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "programs/entry/entry_peers.h"
 #include "sassafras/core/counter_table.h"
@@ -15,10 +16,14 @@
 
 namespace sassafras {
 
-/// Table of the store with the entry processes. A row's key is the name of the
-/// table followed by the process's id; its value is the status address.
+/// Table of the store with the entry processes. The value of a row is the
+/// status address.
 inline constexpr char kEntryTable[] = "entries/";
 
+/// Key of the row of process `id`. It begins with digits derived from the id,
+/// so that neighbours in the order of keys are anywhere in the fleet.
+std::string EntryKey(const std::string& id);
+
 /// Header of a call that another entry process has passed on. Such a call comes
 /// to the status address, and is not passed on again. Its value is the version
 /// of the configuration below which the call must not be handled.
@@ -41,7 +46,8 @@
 
 /// Passes calls that this process cannot serve, because the store turns it
 /// away, to another entry process. Registers this process in the store and
-/// reads the others from there. Safe to use from several threads.
+/// reads from there the few that follow it in the order of keys, so that the
+/// cost does not grow with the fleet. Safe to use from several threads.
 class call_relay : public std::enable_shared_from_this<call_relay> {
  public:
   struct hooks {
@@ -59,7 +65,7 @@
 
   /// `id` and `address` are those of this process. `table` must outlive the
   /// relay.
-  static std::shared_ptr<call_relay> Make(std::string id,
+  static std::shared_ptr<call_relay> Make(const std::string& id,
                                           std::string address,
                                           const table_port& table,
                                           counter_table& counters,
@@ -87,20 +93,22 @@
     bool may_have_run = false;
   };
 
-  call_relay(std::string id,
+  call_relay(const std::string& id,
              std::string address,
              const table_port& table,
              counter_table& counters,
              hooks hooks);
   void ReadPeers();
-  void ApplyRows(const read_answer& answer);
+  void ReadRows(const std::string& after, std::vector<table_row> rows);
+  void ScheduleRead(duration delay);
+  void ApplyRows(const std::vector<table_row>& rows);
   void Register(std::uint64_t version);
   void AskNext(const std::shared_ptr<relayed_call>& call);
   void OnAnswer(const std::shared_ptr<relayed_call>& call,
                 const std::string& peer,
                 const http_answer& answer);
 
-  const std::string id_;
+  const std::string key_;  // Of the row of this process.
   const std::string address_;
   const table_port& table_;
   counter_table& counters_;
--- a/tests/call_relay_test.cc
+++ b/tests/call_relay_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -136,9 +137,9 @@
 
 TEST_CASE("Entry processes find each other in the store") {
   relay_world world;
-  world.table.Commit({{"entries/front-2", 0, "10.0.0.2:7000"}});
+  world.table.Commit({{EntryKey("front-2"), 0, "10.0.0.2:7000"}});
   world.relay->Start();
-  CHECK(world.table.Read("entries/front-1").value == "10.0.0.1:7000");
+  CHECK(world.table.Read(EntryKey("front-1")).value == "10.0.0.1:7000");
 
   SECTION("a call is passed to one of the others, without its connection") {
     world.answers["10.0.0.2:7000"] = Answer(200);
@@ -161,14 +162,39 @@
   SECTION("the row is erased at a graceful stop") {
     world.RunDelayed();
     world.relay->Stop();
-    CHECK(world.table.Read("entries/front-1").version == 0);
+    CHECK(world.table.Read(EntryKey("front-1")).version == 0);
+  }
+}
+
+TEST_CASE("A process knows few of a large fleet") {
+  relay_world world;
+  for (int i = 2; i < 302; ++i) {
+    world.table.Commit({{EntryKey("front-" + std::to_string(i)), 0,
+                         "10.0.1." + std::to_string(i) + ":7000"}});
+  }
+  world.relay->Start();
+
+  SECTION("and these are sixteen, wherever its own row is in their order") {
+    for (int call = 0; call < 200; ++call) {
+      world.now += 4s;
+      world.Relay("GET");
+    }
+    const std::set<std::string> known(world.asked.begin(), world.asked.end());
+    CHECK(known.size() == 16);
+  }
+  SECTION("a fleet of two knows the other one") {
+    world.table.rows.clear();
+    world.table.Commit({{EntryKey("front-9"), 0, "10.0.1.9:7000"}});
+    world.RunDelayed();
+    world.Relay("GET");
+    CHECK(world.asked == std::vector<std::string>{"10.0.1.9:7000"});
   }
 }
 
 TEST_CASE("A call is passed on and no peer serves it") {
   relay_world world;
-  world.table.Commit({{"entries/front-2", 0, "10.0.0.2:7000"}});
-  world.table.Commit({{"entries/front-3", 0, "10.0.0.3:7000"}});
+  world.table.Commit({{EntryKey("front-2"), 0, "10.0.0.2:7000"}});
+  world.table.Commit({{EntryKey("front-3"), 0, "10.0.0.3:7000"}});
   world.relay->Start();
 
   SECTION("both refuse: it has not run") {
