--- a/review/standin/main.cc
+++ b/review/standin/main.cc
@@ -301,12 +301,47 @@
           std::to_string(runs_at_end) + " after the history was forgotten");
 }
 
+// The store loses the answers to a submission and performs it late. The client
+// gets no decision, gives up and cancels the job. Nothing of it may run later.
+int CancelBeforeLateWrite(const case_options& options) {
+  constexpr milliseconds kLateBy{5500};
+  const std::string job = "00000000000000f1";
+  platform& users = MakePlatform(options);
+  if (!users.Start()) {
+    return CannotRun("the entries are not ready");
+  }
+  SleepFor(milliseconds(4000));
+  if (options.has_trouble) {
+    // The write of the job, and the one by which the entry would refuse it.
+    users.Store().DelayWrites("jobs", 2, kLateBy);
+  }
+  const auto sent = clock_type::now();
+  users.Client(0, "POST", job, JobBody({{"ms", 60000}}, Step(4, 1)));
+  const int answer = users.ClientRetry("DELETE", job, "", 4).status;
+  if (answer / 100 != 2 && answer != 410) {
+    return CannotRun("the cancelling is not answered");
+  }
+  const auto acknowledged = clock_type::now();
+  std::this_thread::sleep_until(sent + kLateBy + kStableWindow + kCancelBound +
+                                kStopTime + milliseconds(2000));
+  const int running = RunningTasks(users, job);
+  const auto since = std::chrono::duration_cast<milliseconds>(
+      clock_type::now() - acknowledged);
+  return Verdict(running > 0,
+                 std::to_string(running) + " tasks of the job run " +
+                     std::to_string(since.count()) +
+                     " ms after its cancelling was answered with " +
+                     std::to_string(answer) + "; its state is '" +
+                     users.State(job) + "'");
+}
+
 int Main(int argc, char** argv) {
   const std::map<std::string, std::function<int(const case_options&)>> cases = {
       {"upkeep-then-restart", UpkeepThenRestart},
       {"cancel-during-cut", CancelDuringCut},
       {"lasting-task-after-restart", LastingTaskAfterRestart},
       {"forgotten-job", ForgottenJob},
+      {"cancel-before-late-write", CancelBeforeLateWrite},
   };
   if (argc != 5 || !cases.contains(argv[1])) {
     std::cerr << "usage: review-harness CASE ENTRY_BINARY FOLDER RECORD\n";
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -201,6 +201,21 @@
                    " bytes is over a limit, answered 400");
     return {400, "{}"};
   }
+  bool is_delayed = false;
+  milliseconds delay{0};
+  {
+    const std::lock_guard lock(mutex_);
+    is_delayed = delayed_writes_ > 0 && !puts.empty() &&
+                 puts.front().at("table") == delayed_table_;
+    delayed_writes_ -= is_delayed ? 1 : 0;
+    delay = write_delay_;
+  }
+  if (is_delayed) {
+    Record().Write("store: a write of " +
+                   puts.front().at("key").get<std::string>() +
+                   " gets no answer");
+    SleepFor(delay);
+  }
   const std::lock_guard lock(mutex_);
   for (const json* rows : {&conditions, &puts, &removed}) {
     for (const json& row : *rows) {
@@ -223,7 +238,7 @@
   json answer = Answer();
   if (!holds) {
     answer["rows"] = current;
-    return {412, answer.dump()};
+    return {412, answer.dump(), is_delayed};
   }
   ++version_;
   for (const json& put : puts) {
@@ -234,7 +249,11 @@
   }
   answer["ver"] = version_;
   changed_.notify_all();
-  return {200, answer.dump()};
+  if (is_delayed) {
+    Record().Write("store: the late write of " +
+                   puts.front().at("key").get<std::string>() + " is performed");
+  }
+  return {200, answer.dump(), is_delayed};
 }
 
 http_response store::Read(const http_request& request) {
@@ -348,6 +367,15 @@
   is_feed_muted_ = is_muted;
 }
 
+void store::DelayWrites(const std::string& table,
+                        int count,
+                        milliseconds delay) {
+  const std::lock_guard lock(mutex_);
+  delayed_table_ = table;
+  delayed_writes_ = count;
+  write_delay_ = delay;
+}
+
 void store::DropHistory() {
   const std::lock_guard lock(mutex_);
   history_.clear();
@@ -760,7 +788,7 @@
   response.status = 0;
   for (int i = 0; i < tries; ++i) {
     response = Client(i % options_.entries, method, id, body);
-    if (response.status / 100 == 2) {
+    if (response.status / 100 == 2 || response.status == 410) {
       return response;
     }
     SleepFor(milliseconds(500));
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -68,6 +68,9 @@
   std::vector<std::string> PartsOf(const std::string& table);
   /// While muted, the change feed tells nothing.
   void SetFeedMuted(bool is_muted);
+  /// The next `count` writes of rows of `table` get no answer, and are
+  /// performed after `delay` if their condition holds then.
+  void DelayWrites(const std::string& table, int count, milliseconds delay);
   /// Discards the history: a feed that continues from before gets 410.
   void DropHistory();
 
@@ -100,6 +103,9 @@
   std::uint64_t dropped_version_ = 0;  ///< Changes up to it are discarded.
   std::set<std::string> parts_down_;
   bool is_feed_muted_ = false;
+  std::string delayed_table_;
+  std::atomic<int> delayed_writes_{0};
+  milliseconds write_delay_{0};
 };
 
 /// One task that a minion runs. Its `spec` is JSON: `ms` is its work. A task
@@ -203,8 +209,8 @@
                        const std::string& method,
                        const std::string& id,
                        const std::string& body = "");
-  /// Sends a request until it gets a 2xx answer, at most `tries` times, at the
-  /// next entry each time.
+  /// Sends a request until it gets a 2xx answer or 410, at most `tries` times,
+  /// at the next entry each time.
   http_response ClientRetry(const std::string& method,
                             const std::string& id,
                             const std::string& body,
