--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the case cancel-before-late-write. Exits with 1 if the rule was broken, 0 if it held, 2 if the
+# Runs the case lasting-task-after-restart. Exits with 1 if the rule was broken, 0 if it held, 2 if the
 # case could not run. TROUBLE=0 leaves the disruption out.
 here=$(cd "$(dirname "$0")" && pwd)
-exec "$here/../run_case.sh" cancel-before-late-write "$here"
+exec "$here/../run_case.sh" lasting-task-after-restart "$here"
--- a/review/standin/platform.cc
+++ b/review/standin/platform.cc
@@ -753,6 +753,25 @@
   }
 }
 
+int platform::RestartEnded() {
+  int ended = 0;
+  for (int i = 0; i < options_.entries; ++i) {
+    int status = 0;
+    if (entries_[i].pid > 0 &&
+        ::waitpid(entries_[i].pid, &status, WNOHANG) == entries_[i].pid) {
+      ++ended;
+      Record().Write(
+          "platform: entry " + std::to_string(i) + " has ended by itself" +
+          (WIFSIGNALED(status) ? ", signal " + std::to_string(WTERMSIG(status))
+                               : ""));
+      entries_[i].pid = 0;
+      SleepFor(milliseconds(300));
+      StartEntry(i);
+    }
+  }
+  return ended;
+}
+
 int platform::Leader() {
   const json row = json::parse(store_.Get("lease", "", "jobs"), nullptr, false);
   if (!row.is_object() || row.value("released", false)) {
--- a/review/standin/platform.h
+++ b/review/standin/platform.h
@@ -201,6 +201,9 @@
   /// Sends a signal to an entry process. After SIGKILL or SIGTERM it is waited
   /// for.
   void Signal(int index, int signal);
+  /// Starts entry processes that have ended by themselves again, as the
+  /// platform does after a short delay. Returns how many had ended.
+  int RestartEnded();
   /// The entry that last wrote the lease row; -1: none.
   int Leader();
 
