Let a new owner know which upkeeps have begun

Cause: progress of a wave was in memory only. A new owner took each machine of each wave as not yet ordered down, cordoned its minion, ordered again and waited for a minion that never came. Nothing lifted a cordon.

Change: the wave's record names a machine before its upkeep is ordered, and says which orders are settled; it is written with the status row. A new owner loads the records first. Machines in a record count as down until the platform answers; cordons follow from the machines under way.

--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -171,9 +171,11 @@
     return;
   }
   const std::lock_guard lock(mutex_);
-  waves_[wave->number] = *wave;
+  const auto [known, is_new] =
+      waves_.try_emplace(wave->number, known_wave{*wave, hooks_.now()});
+  known->second.wave = *wave;
   if (upkeep_) {
-    upkeep_->OnWave(hooks_.now(), *wave);
+    upkeep_->OnWave(known->second.first_seen, *wave);
   }
 }
 
@@ -232,16 +234,13 @@
     gained_at_ = hooks_.now();
     has_sent_poll_ = false;
     has_sent_start_ = false;
-    fence = epoch * kFencesPerEpoch + tenure % kFencesPerEpoch;
+    fence_ = epoch * kFencesPerEpoch + tenure % kFencesPerEpoch;
+    fence = fence_;
     core_ = std::make_unique<sched::work_core>(
         MakeWorkOptions(settings_, max_long_polls_), fence, hooks_.now(),
         counters_);
     published_waiting_counts_.clear();
-    upkeep_ = std::make_unique<sched::upkeep_core>(settings_.id.value, fence,
-                                                   counters_);
-    for (const auto& [number, wave] : waves_) {
-      upkeep_->OnWave(hooks_.now(), wave);
-    }
+    upkeep_.reset();
   }
   counters_.Add("ownership_gained");
   ScheduleTimedDecisions();
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -99,6 +99,17 @@
   // Delay before a failed call to the store is repeated.
   static constexpr duration kRetryDelay = std::chrono::milliseconds(100);
 
+  // An upkeep wave that the operator requested.
+  struct known_wave {
+    sched::upkeep_wave wave;
+    instant first_seen;  // By this process, in whatever tenure.
+  };
+  // Versions of the rows of a wave, as far as this process has met them.
+  struct wave_versions {
+    std::uint64_t record = 0;
+    std::uint64_t status = 0;
+  };
+
   job_owner(const platform_adapter& adapter,
             const table_port& table,
             const entry_settings& settings,
@@ -131,12 +142,16 @@
   void PublishWaitingCounts(std::uint64_t tenure);
   void EraseExpiredJobs(std::uint64_t tenure);
   void EraseRecord(const sched::expired_job& job);
+  void LoadWaves(std::uint64_t tenure);
+  void OnWavesLoaded(std::uint64_t tenure, const read_answer& answer);
   void DecideUpkeep(std::uint64_t tenure);
   void SendUpkeepOrder(std::uint64_t tenure, const sched::upkeep_order& order);
   void ListMachines(std::uint64_t tenure);
-  void WriteWaveStatus(std::uint64_t tenure,
-                       const sched::wave_status& status,
-                       std::uint64_t expected_version);
+  void WriteWave(std::uint64_t tenure, const sched::wave_record& record);
+  void OnWaveWritten(std::uint64_t tenure,
+                     const sched::wave_record& record,
+                     const std::string& status_key,
+                     const commit_answer& answer);
   void ScheduleTimedDecisions();
 
   // Calls `update` with the core if `tenure` is current, and schedules a
@@ -165,13 +180,16 @@
 
   mutable std::mutex mutex_;
   std::unique_ptr<sched::work_core> core_;
+  // Null until the records of the waves have been loaded in this tenure.
   std::unique_ptr<sched::upkeep_core> upkeep_;
-  std::map<std::int64_t, sched::upkeep_wave> waves_;
+  std::map<std::int64_t, known_wave> waves_;
+  std::map<std::int64_t, wave_versions> wave_versions_;
   // Set from the call for the list until kMachineListInterval after its answer.
   bool is_machine_list_pending_ = false;
   sched::service_config_ptr config_;
   std::uint64_t tenure_ = 0;  // Number of the last tenure; 0: none yet.
   std::uint64_t epoch_ = 0;   // Epoch of the lease in that tenure.
+  std::uint64_t fence_ = 0;   // Fencing token of that tenure.
   // Whether this process may act. False with a core: the tenure is suspended.
   bool is_owner_ = false;
   bool is_decision_scheduled_ = false;
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -101,7 +101,7 @@
   PublishWaitingCounts(tenure);
   EraseExpiredJobs(tenure);
   if (adapter_.machines.list) {
-    DecideUpkeep(tenure);
+    LoadWaves(tenure);
   }
   ScheduleDecision(kDecisionBatchDelay);
 }
--- a/tests/upkeep_test.cc
+++ b/tests/upkeep_test.cc
@@ -1,7 +1,11 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <memory>
 #include <set>
+#include <vector>
 
+#include "sassafras/sched/upkeep_codec.h"
 #include "sassafras/sched/upkeep_core.h"
 
 namespace sassafras::sched {
@@ -10,24 +14,48 @@
 using namespace std::chrono_literals;
 
 // Simulated platform: an upkeep takes a machine down for 2 s, after which the
-// machine is up with another minion.
+// machine is up with another minion. Records are durable when they are written.
 struct upkeep_world {
   upkeep_world() {
     for (int i = 0; i < 4; ++i) {
       const std::string id = "m" + std::to_string(i);
       rows[id] = {id, "lab", machine_state::kUp, "old-" + id};
     }
-    work.cordon = [this](const std::string& minion, bool /*is_cordoned*/) {
-      cordoned.insert(minion);
+    work.cordon = [this](const std::string& minion, bool is_cordoned) {
+      if (is_cordoned) {
+        cordoned.insert(minion);
+        was_cordoned.insert(minion);
+      } else {
+        cordoned.erase(minion);
+      }
     };
     work.drain = [this](const std::string& minion, bool is_forced) {
       forced_drains += is_forced ? 1 : 0;
       return is_forced || !busy.contains(minion);
     };
+    ReplaceOwner();
+  }
+
+  // Replaces the owner by a new one that knows only what is durable. The new
+  // owner excludes no minion at first.
+  void ReplaceOwner() {
+    std::vector<wave_record> records;
+    for (const auto& [number, text] : record_rows) {
+      records.push_back(DecodeWaveRecord(text).value());
+    }
+    cordoned.clear();
+    was_cordoned.clear();
+    core = std::make_unique<upkeep_core>("front-1", ++fence, now, records,
+                                         counters);
+    for (const auto& [wave, first_seen] : waves) {
+      core->OnWave(first_seen, wave);
+    }
   }
 
   void Wave(int max_concurrent, duration deadline) {
-    core.OnWave(now, {7, {"m0", "m1", "m2", "m3"}, deadline, max_concurrent});
+    waves.push_back(
+        {{7, {"m0", "m1", "m2", "m3"}, deadline, max_concurrent}, now});
+    core->OnWave(now, waves.back().first);
   }
 
   void Run(duration length) {
@@ -40,14 +68,15 @@
         }
         listed.push_back(row);
       }
-      core.OnMachines(now, listed);
-      const upkeep_actions actions = core.Decide(now, work);
-      for (const wave_status& status : actions.statuses) {
-        is_complete = status.is_complete;
-      }
+      core->OnMachines(now, listed);
+      const upkeep_actions actions = core->Decide(now, work);
+      is_list_needed = actions.needs_machine_list;
       for (const upkeep_order& order : actions.orders) {
         CarryOut(order);
       }
+      for (const wave_record& record : actions.records) {
+        Store(record);
+      }
       int down = 0;
       for (const auto& [id, row] : rows) {
         down += row.state == machine_state::kUpkeep ? 1 : 0;
@@ -56,28 +85,64 @@
     }
   }
 
+  void Store(const wave_record& record) {
+    if (is_store_down) {
+      core->OnRecorded(record.wave, false);
+      return;
+    }
+    record_rows[record.wave] = EncodeWaveRecord(record);
+    is_complete = record.is_complete;
+    core->OnRecorded(record.wave, true);
+  }
+
+  // Delivers an order: at once, or when DeliverHeldOrders() is called.
   void CarryOut(const upkeep_order& order) {
+    ++orders[order.machine];
+    if (are_orders_held) {
+      held_orders.push_back(order);
+      core->OnOrdered(now, order, upkeep_outcome::kUnknown);
+      return;
+    }
+    Execute(order);
+    core->OnOrdered(
+        now, order,
+        are_answers_lost ? upkeep_outcome::kUnknown : upkeep_outcome::kBegun);
+  }
+
+  void Execute(const upkeep_order& order) {
     machine_row& row = rows.at(order.machine);
     if (row.state == machine_state::kUp && row.minion.starts_with("old-")) {
       row.state = machine_state::kUpkeep;
       up_again_at[order.machine] = now + 2s;
       ++started;
     }
-    core.OnOrdered(
-        now, order,
-        are_answers_lost ? upkeep_outcome::kUnknown : upkeep_outcome::kBegun);
+  }
+
+  void DeliverHeldOrders() {
+    for (const upkeep_order& order : std::exchange(held_orders, {})) {
+      Execute(order);
+    }
   }
 
   instant now{1h};
   counter_table counters;
-  upkeep_core core{"front-1", 3, counters};
+  std::uint64_t fence = 2;
+  std::unique_ptr<upkeep_core> core;
   upkeep_core::hooks work;
+  std::vector<std::pair<upkeep_wave, instant>> waves;
+  std::map<std::int64_t, std::string> record_rows;
   std::map<std::string, machine_row> rows;
   std::map<std::string, instant> up_again_at;
   std::set<std::string> cordoned;
+  std::set<std::string> was_cordoned;  // In this tenure.
   std::set<std::string> busy;
+  std::map<std::string, int> orders;  // By machine.
+  std::vector<upkeep_order> held_orders;
+  bool are_orders_held = false;
   bool are_answers_lost = false;
+  bool is_store_down = false;
   bool is_complete = false;
+  bool is_list_needed = false;
   int forced_drains = 0;
   int started = 0;
   int max_down = 0;
@@ -135,6 +200,133 @@
     CHECK(world.started == 3);
     CHECK(world.is_complete);
   }
+  SECTION("orders no upkeep before the record that names it is durable") {
+    world.is_store_down = true;
+    world.Wave(2, 60s);
+    world.Run(5s);
+    CHECK(world.started == 0);
+    world.is_store_down = false;
+    world.Run(20s);
+    CHECK(world.started == 4);
+    CHECK(world.is_complete);
+  }
+  SECTION("cordons no minion once the machines are back, and reads no list") {
+    world.Wave(4, 60s);
+    world.Run(10s);
+    CHECK(world.was_cordoned.size() == 4);
+    CHECK(world.cordoned.empty());
+    CHECK_FALSE(world.is_list_needed);
+  }
+  SECTION("drains the minion that has replaced the one it was draining") {
+    world.busy = {"old-m0", "restarted-m0"};
+    world.Wave(1, 60s);
+    world.Run(1s);
+    world.rows["m0"].minion = "restarted-m0";
+    world.Run(1s);
+    CHECK(world.orders.empty());
+    CHECK(world.cordoned == std::set<std::string>{"restarted-m0"});
+  }
+  SECTION("drains a minion again before an order to it is repeated") {
+    world.are_orders_held = true;
+    world.Wave(1, 60s);
+    world.Run(1s);
+    const int sent = world.orders["m0"];
+    CHECK(sent > 0);
+    world.busy = {"old-m0"};
+    world.Run(2s);
+    CHECK(world.orders["m0"] == sent);
+  }
+}
+
+// Guards against upkeeps that a new owner orders again, which kept their
+// machines cordoned for as long as it owned the jobs.
+TEST_CASE("Upkeep wave after a change of owner") {
+  upkeep_world world;
+
+  SECTION("a complete wave takes no machine out of service again") {
+    world.Wave(2, 60s);
+    world.Run(10s);
+    REQUIRE(world.is_complete);
+    world.orders.clear();
+    world.ReplaceOwner();
+    world.Run(30s);
+    CHECK(world.orders.empty());
+    CHECK(world.was_cordoned.empty());
+    CHECK(world.forced_drains == 0);
+    CHECK(world.is_complete);
+    CHECK_FALSE(world.is_list_needed);
+  }
+  SECTION("a wave in progress goes on with the machines that remain") {
+    world.Wave(1, 60s);
+    world.Run(3500ms);
+    REQUIRE(world.started == 2);
+    REQUIRE_FALSE(world.is_complete);
+    world.orders.clear();
+    world.ReplaceOwner();
+    world.Run(20s);
+    CHECK(world.is_complete);
+    CHECK(world.started == 4);
+    CHECK(world.max_down == 1);
+    CHECK(world.orders["m0"] == 0);
+    CHECK(world.orders["m1"] == 0);
+    CHECK(world.cordoned.empty());
+    CHECK_FALSE(world.was_cordoned.contains("new-m0"));
+  }
+  SECTION("an order that takes effect late stays within the limit") {
+    world.are_orders_held = true;
+    world.Wave(1, 60s);
+    world.Run(1s);
+    REQUIRE_FALSE(world.held_orders.empty());
+    world.are_orders_held = false;
+    world.busy = {"old-m0"};
+    world.ReplaceOwner();
+    world.Run(300ms);
+    world.DeliverHeldOrders();
+    world.Run(30s);
+    CHECK(world.is_complete);
+    CHECK(world.started == 4);
+    CHECK(world.max_down == 1);
+  }
+  SECTION("an upkeep that was done without its answer counts as over") {
+    world.are_answers_lost = true;
+    world.Wave(1, 60s);
+    world.Run(2500ms);
+    REQUIRE(world.rows["m0"].minion == "new-m0");
+    world.are_answers_lost = false;
+    world.ReplaceOwner();
+    world.Run(30s);
+    CHECK(world.is_complete);
+    CHECK(world.started == 4);
+    CHECK(world.cordoned.empty());
+  }
+  SECTION("the deadline still counts from the first sight of the wave") {
+    world.busy = {"old-m0", "old-m1", "old-m2", "old-m3"};
+    world.Wave(4, 12s);
+    world.Run(4s);
+    REQUIRE(world.started == 0);
+    world.ReplaceOwner();
+    world.Run(3s);
+    CHECK(world.started == 4);
+  }
+  SECTION("an owner that met no record begins the wave") {
+    world.is_store_down = true;
+    world.Wave(2, 60s);
+    world.Run(1s);
+    world.is_store_down = false;
+    world.ReplaceOwner();
+    world.Run(15s);
+    CHECK(world.is_complete);
+    CHECK(world.started == 4);
+  }
+}
+
+TEST_CASE("Wave record survives its encoding") {
+  const wave_record record{
+      7, true, {{"m0", "old-m0", true}, {"m1", "", false}}};
+  CHECK(DecodeWaveRecord(EncodeWaveRecord(record)).value() == record);
+  CHECK_FALSE(DecodeWaveRecord("{}"));
+  CHECK_FALSE(
+      DecodeWaveRecord(R"({"wave":1,"complete":false,"machines":[1]})"));
 }
 
 }  // namespace
