Stop the runs of ended jobs after a change of owner

Cause: the record of the cancelling names members whose stop is not confirmed. The next owner restored them as running, and the cancelling had no effect on a job that had ended.

Change: CloseNeedlessRuns() closes the runs of units that are done and of jobs that have ended, at a cancelling, at a failure and after each restore.

--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -52,6 +52,7 @@
     if (entry.IsEnded()) {
       entry.ended_at = now;
     }
+    CloseNeedlessRuns(now, entry);
   } else {
     LogEvent("job_taken", job.id, "", "", "queue " + job.queue);
   }
@@ -220,9 +221,7 @@
   }
   job.is_cancelled = true;
   LogEvent("job_cancelled", id, "", "", "by its caller");
-  for (work_unit& unit : job.units) {
-    CloseRun(now, job, unit, close_cause::kCancelled);
-  }
+  CloseNeedlessRuns(now, job);
   UpdateState(now, job);
 }
 
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -148,6 +148,9 @@
                 work_unit& unit,
                 close_cause cause,
                 std::string_view detail = {});
+  static std::optional<close_cause> CauseNotToRun(const job_entry& job,
+                                                  const work_unit& unit);
+  void CloseNeedlessRuns(instant now, job_entry& job);
   void ReleaseMember(job_entry& job, work_unit& unit, unit_member& member);
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
   void HandleEnd(instant now,
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -298,6 +298,33 @@
   FinishClosing(now, job, unit);
 }
 
+// Returns why the unit must have no run, or nothing if it may have one.
+std::optional<close_cause> work_core::impl::CauseNotToRun(
+    const job_entry& job,
+    const work_unit& unit) {
+  if (unit.is_done || job.state == job_state::kComplete) {
+    return close_cause::kDone;
+  }
+  if (job.is_cancelled) {
+    return close_cause::kCancelled;
+  }
+  if (job.state == job_state::kFailed) {
+    return close_cause::kJobFailed;
+  }
+  return std::nullopt;
+}
+
+// Closes the runs of units that must have none. A job may have such runs when
+// it ends, and when it is restored: its record names the members whose end the
+// former owner did not know of.
+void work_core::impl::CloseNeedlessRuns(instant now, job_entry& job) {
+  for (work_unit& unit : job.units) {
+    if (const auto cause = CauseNotToRun(job, unit)) {
+      CloseRun(now, job, unit, *cause);
+    }
+  }
+}
+
 // Marks a member as terminated and releases its capacity.
 void work_core::impl::ReleaseMember(job_entry& job,
                                     work_unit& unit,
@@ -422,9 +449,7 @@
   job.ended_at = now;
   LogEvent("job_failed", job.accepted.id, std::to_string(unit.step), "",
            "failed runs: " + std::to_string(unit.failed_runs));
-  for (work_unit& other : job.units) {
-    CloseRun(now, job, other, close_cause::kJobFailed);
-  }
+  CloseNeedlessRuns(now, job);
 }
 
 void work_core::impl::UpdateState(instant now, job_entry& job) {
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -353,6 +353,71 @@
   }
 }
 
+// Guards against runs that no owner stops, because the owner that ended their
+// job was replaced before it knew that they were over.
+TEST_CASE("Runs of an ended job are stopped by the next owner") {
+  fake_fleet fleet({});
+  const auto partition_one = [&](bool is_partitioned) {
+    for (auto& [id, minion] : fleet.minions) {
+      if (!minion.running.empty()) {
+        minion.is_partitioned = is_partitioned;
+        return;
+      }
+    }
+  };
+  const auto heal_and_check = [&](const std::string& job) {
+    fleet.ReplaceOwner();
+    fleet.Run(1s);
+    for (auto& [id, minion] : fleet.minions) {
+      minion.is_partitioned = false;
+    }
+    fleet.Run(1500ms);
+    CHECK(fleet.CountRunning(job) == 0);
+    fleet.Run(10s);
+    CHECK(fleet.CountRunning(job) == 0);
+    CheckNoViolations(fleet);
+  };
+
+  SECTION("a job that was cancelled while one of its minions was cut off") {
+    fleet.Submit(OneStep("a", 1, 12, kSmall, 60s));
+    fleet.Run(1s);
+    partition_one(true);
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    REQUIRE(fleet.StateOf("a") == job_state::kCancelled);
+    REQUIRE(fleet.CountRunning("a") > 0);
+    heal_and_check("a");
+  }
+  SECTION("a job of lasting tasks, which would never end") {
+    accepted_job job = OneStep("a", 1, 4, kWholeMinion, 60s);
+    job.spec.steps[0].is_persistent = true;
+    fleet.Submit(job);
+    fleet.Run(1s);
+    partition_one(true);
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    REQUIRE(fleet.CountRunning("a") == 1);
+    heal_and_check("a");
+  }
+  SECTION("a job that failed while one of its minions was cut off") {
+    accepted_job job = OneStep("a", 1, 2, kWholeMinion, 60s);
+    job.max_attempts = 1;
+    fleet.Submit(job);
+    fleet.Run(1s);
+    partition_one(true);
+    for (auto& [id, minion] : fleet.minions) {
+      minion.fails_all_runs = !minion.is_partitioned;
+      for (auto& [run, held] : minion.running) {
+        held.remaining = minion.is_partitioned ? 60s : 10ms;
+      }
+    }
+    fleet.Run(1s);
+    REQUIRE(fleet.StateOf("a") == job_state::kFailed);
+    REQUIRE(fleet.CountRunning("a") == 1);
+    heal_and_check("a");
+  }
+}
+
 TEST_CASE(
     "Under random faults no task runs twice and no capacity is exceeded") {
   const int seed = GENERATE(range(1, 25));
@@ -405,6 +470,11 @@
   }
   INFO("seed " << seed);
   CHECK(fleet.RunUntilEnded(60s));
+  fleet.Run(8s);
+  for (const auto& [id, job] : fleet.jobs) {
+    INFO("job " << id);
+    CHECK(fleet.CountRunning(id) == 0);
+  }
   CheckNoViolations(fleet);
 }
 
