Forget an ended job only when its rows are gone

Cause: the core forgot the job before its rows were erased, without another try. The scan after lost history had no records, and a row without a record is taken for a job that has never run.

Change: the core keeps the job until both rows are gone; BeginErasing() returns it again after a failure, and a row that is gone already counts as erased. Every load reads the records before the jobs, also after lost history.

--- a/include/sassafras/sched/work_core.h
+++ b/include/sassafras/sched/work_core.h
@@ -95,7 +95,7 @@
   std::map<std::string, team_usage> teams;  ///< By name.
 };
 
-/// An ended job whose rows may be deleted, with the versions of these rows.
+/// An ended job whose rows are to be erased, with the versions of these rows.
 struct expired_job {
   std::string id;
   std::uint64_t accepted_version = 0;
@@ -193,9 +193,14 @@
   /// Load and free capacity at `now`.
   work_summary Summary(instant now) const;
 
-  /// Removes up to `max_count` jobs that ended more than `state_retention` ago
-  /// and returns them.
-  std::vector<expired_job> TakeExpired(instant now, std::size_t max_count);
+  /// Returns up to `max_count` jobs that ended more than `state_retention` ago,
+  /// for the caller to erase their rows. They stay known until OnErased().
+  std::vector<expired_job> BeginErasing(instant now, std::size_t max_count);
+
+  /// Processes the outcome of erasing the rows of job `id`: the job is
+  /// forgotten if they are gone, and returned again by a later BeginErasing()
+  /// otherwise.
+  void OnErased(const std::string& id, bool are_rows_gone);
 
  private:
   class impl;
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -125,14 +125,19 @@
   bool ResumeTenure(std::uint64_t epoch);
   void EndTenureIfSuperseded();
   void EndTenure();
+  void LoadRows(std::uint64_t tenure,
+                std::function<void(const read_answer& records,
+                                   const read_answer& jobs)> done);
   void LoadJobs(std::uint64_t tenure);
   void LoadTable(std::uint64_t tenure,
                  const std::vector<std::string>& prefixes,
                  std::function<void(const read_answer&)> done);
   bool IsCurrentTenure(std::uint64_t tenure) const;
   void OnJobsLoaded(std::uint64_t tenure,
-                    const read_answer& record_answer,
+                    const read_answer& records,
                     const read_answer& jobs);
+  void ApplyLoadedRows(const read_answer& record_answer,
+                       const read_answer& jobs);
   void ApplyJobRow(const table_row& row,
                    const std::map<std::string, const table_row*>& records);
   void FollowJobs(std::uint64_t tenure, std::uint64_t after);
@@ -141,7 +146,13 @@
   void ApplyMinionRows(std::uint64_t tenure, const read_answer& answer);
   void PublishWaitingCounts(std::uint64_t tenure);
   void EraseExpiredJobs(std::uint64_t tenure);
-  void EraseRecord(const sched::expired_job& job);
+  void EraseJob(std::uint64_t tenure, const sched::expired_job& job);
+  void OnJobRowErased(std::uint64_t tenure,
+                      const sched::expired_job& job,
+                      const commit_answer& answer);
+  void FinishErasing(std::uint64_t tenure,
+                     const std::string& id,
+                     bool are_rows_gone);
   void LoadWaves(std::uint64_t tenure);
   void OnWavesLoaded(std::uint64_t tenure, const read_answer& answer);
   void DecideUpkeep(std::uint64_t tenure);
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -31,20 +31,43 @@
   return prefixes;
 }
 
+// Whether the transaction that erases the row under `key` has succeeded, now or
+// in an earlier try whose answer was lost.
+bool IsRowGone(const commit_answer& answer, const std::string& key) {
+  if (answer.state == answer_state::kDone) {
+    return true;
+  }
+  const table_row* row = FindRow(answer.rows, key);
+  return answer.reason == error_kind::kConflict && row != nullptr &&
+         row->version == 0;
+}
+
 }  // namespace
 
-// Reads the records and then the jobs. Only the owner writes records, so that
-// none changes between the two reads.
-void job_owner::LoadJobs(std::uint64_t tenure) {
+// A job's row without a record is taken for a job that has never run. So that
+// this is true, each load reads the records before the jobs, the rows of an
+// ended job are erased in the other order, and the core knows the job until
+// both are gone.
+void job_owner::LoadRows(std::uint64_t tenure,
+                         std::function<void(const read_answer& records,
+                                            const read_answer& jobs)> done) {
   LoadTable(tenure, {sched::kRecordTable},
-            [self = shared_from_this(), tenure](const read_answer& records) {
+            [self = shared_from_this(), tenure,
+             done = std::move(done)](const read_answer& records) {
               self->LoadTable(tenure, JobPrefixes(),
-                              [self, tenure, records](const read_answer& jobs) {
-                                self->OnJobsLoaded(tenure, records, jobs);
+                              [records, done](const read_answer& jobs) {
+                                done(records, jobs);
                               });
             });
 }
 
+void job_owner::LoadJobs(std::uint64_t tenure) {
+  LoadRows(tenure, [self = shared_from_this(), tenure](
+                       const read_answer& records, const read_answer& jobs) {
+    self->OnJobsLoaded(tenure, records, jobs);
+  });
+}
+
 // Scans the rows under the prefixes, with retries until it succeeds or the
 // tenure has ended.
 void job_owner::LoadTable(std::uint64_t tenure,
@@ -75,25 +98,19 @@
 }
 
 void job_owner::OnJobsLoaded(std::uint64_t tenure,
-                             const read_answer& record_answer,
+                             const read_answer& records,
                              const read_answer& jobs) {
-  std::map<std::string, const table_row*> records;
-  for (const table_row& row : record_answer.rows) {
-    records[row.key] = &row;
-  }
   {
     const std::lock_guard lock(mutex_);
     if (!core_ || tenure_ != tenure) {
       return;
     }
     core_->OnConfig(config_);
-    for (const table_row& row : jobs.rows) {
-      ApplyJobRow(row, records);
-    }
+    ApplyLoadedRows(records, jobs);
   }
   LogEvent("jobs_loaded",
            {{"jobs", std::to_string(jobs.rows.size())},
-            {"records", std::to_string(record_answer.rows.size())},
+            {"records", std::to_string(records.rows.size())},
             {"since_gained_ms", std::to_string(OwnedFor().count() / 1000)},
             {"version", std::to_string(jobs.store_version)}});
   FollowJobs(tenure, jobs.store_version);
@@ -106,6 +123,18 @@
   ScheduleDecision(kDecisionBatchDelay);
 }
 
+// Called with the lock held.
+void job_owner::ApplyLoadedRows(const read_answer& record_answer,
+                                const read_answer& jobs) {
+  std::map<std::string, const table_row*> records;
+  for (const table_row& row : record_answer.rows) {
+    records[row.key] = &row;
+  }
+  for (const table_row& row : jobs.rows) {
+    ApplyJobRow(row, records);
+  }
+}
+
 // Passes the row of a job or of a cancellation to the core. Called with the
 // lock held.
 void job_owner::ApplyJobRow(
@@ -178,23 +207,21 @@
       });
 }
 
-// Scans the jobs again after the store has discarded the history that the
+// Loads the rows again after the store has discarded the history that the
 // change feed needs. The core ignores jobs that it already has.
 void job_owner::ReloadJobs(std::uint64_t tenure) {
-  LoadTable(tenure, JobPrefixes(),
-            [self = shared_from_this(), tenure](const read_answer& jobs) {
-              {
-                const std::lock_guard lock(self->mutex_);
-                if (!self->core_ || self->tenure_ != tenure) {
-                  return;
-                }
-                for (const table_row& row : jobs.rows) {
-                  self->ApplyJobRow(row, {});
-                }
-              }
-              self->ScheduleDecision(kDecisionBatchDelay);
-              self->FollowJobs(tenure, jobs.store_version);
-            });
+  LoadRows(tenure, [self = shared_from_this(), tenure](
+                       const read_answer& records, const read_answer& jobs) {
+    {
+      const std::lock_guard lock(self->mutex_);
+      if (!self->core_ || self->tenure_ != tenure) {
+        return;
+      }
+      self->ApplyLoadedRows(records, jobs);
+    }
+    self->ScheduleDecision(kDecisionBatchDelay);
+    self->FollowJobs(tenure, jobs.store_version);
+  });
 }
 
 void job_owner::ListMinions(std::uint64_t tenure) {
@@ -270,9 +297,8 @@
                  });
 }
 
-// Erases the rows of jobs that ended longer ago than the retention time. The
-// job is erased before its record, because a job without a record would run
-// again.
+// Erases the rows of jobs that ended longer ago than the retention time. Those
+// that could not be erased are tried again at the next interval.
 void job_owner::EraseExpiredJobs(std::uint64_t tenure) {
   std::vector<sched::expired_job> expired;
   {
@@ -280,38 +306,59 @@
     if (!core_ || tenure_ != tenure) {
       return;
     }
-    expired = core_->TakeExpired(hooks_.now(), kMaxErasedPerCommit);
+    expired = core_->BeginErasing(hooks_.now(), kMaxErasedPerCommit);
   }
   for (const sched::expired_job& job : expired) {
-    table_transaction erased;
-    erased.push_back({sched::JobKey(job.id), job.accepted_version, "", true});
-    if (job.cancel_version != 0) {
-      erased.push_back(
-          {sched::CancelKey(job.id), job.cancel_version, "", true});
-    }
-    table_.commit(std::move(erased), [self = shared_from_this(),
-                                      job](const commit_answer& answer) {
-      if (answer.state != answer_state::kDone) {
-        self->counters_.Add("expired_jobs_not_erased");
-      } else if (job.record_version == 0) {
-        self->counters_.Add("expired_jobs_erased");
-      } else {
-        self->EraseRecord(job);
-      }
-    });
+    EraseJob(tenure, job);
   }
   hooks_.after(kExpiryInterval, [self = shared_from_this(), tenure] {
     self->EraseExpiredJobs(tenure);
   });
 }
 
-void job_owner::EraseRecord(const sched::expired_job& job) {
-  lease_->Commit({{sched::kRecordTable + job.id, job.record_version, "", true}},
-                 [self = shared_from_this()](const commit_answer& answer) {
-                   self->counters_.Add(answer.state == answer_state::kDone
-                                           ? "expired_jobs_erased"
-                                           : "expired_jobs_not_erased");
+void job_owner::EraseJob(std::uint64_t tenure, const sched::expired_job& job) {
+  table_transaction erased;
+  erased.push_back({sched::JobKey(job.id), job.accepted_version, "", true});
+  if (job.cancel_version != 0) {
+    erased.push_back({sched::CancelKey(job.id), job.cancel_version, "", true});
+  }
+  table_.commit(std::move(erased), [self = shared_from_this(), tenure,
+                                    job](const commit_answer& answer) {
+    self->OnJobRowErased(tenure, job, answer);
+  });
+}
+
+void job_owner::OnJobRowErased(std::uint64_t tenure,
+                               const sched::expired_job& job,
+                               const commit_answer& answer) {
+  if (!IsRowGone(answer, sched::JobKey(job.id))) {
+    FinishErasing(tenure, job.id, false);
+    return;
+  }
+  const std::string record = sched::kRecordTable + job.id;
+  if (job.record_version == 0) {
+    FinishErasing(tenure, job.id, true);
+    return;
+  }
+  lease_->Commit({{record, job.record_version, "", true}},
+                 [self = shared_from_this(), tenure, id = job.id,
+                  record](const commit_answer& erased) {
+                   self->FinishErasing(tenure, id, IsRowGone(erased, record));
                  });
 }
 
+void job_owner::FinishErasing(std::uint64_t tenure,
+                              const std::string& id,
+                              bool are_rows_gone) {
+  counters_.Add(are_rows_gone ? "expired_jobs_erased"
+                              : "expired_jobs_not_erased");
+  if (!are_rows_gone) {
+    LogEvent("expired_job_not_erased", {{"job", id}});
+  }
+  const std::lock_guard lock(mutex_);
+  if (core_ && tenure_ == tenure) {
+    core_->OnErased(id, are_rows_gone);
+  }
+}
+
 }  // namespace sassafras
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -144,7 +144,7 @@
                                         unit.phase == unit_phase::kActive);
 }
 
-// The jobs stay in `jobs_` until TakeExpired() removes them.
+// The jobs stay in `jobs_` until their rows are erased.
 void work_core::impl::RemoveSettledFromOpenJobs(instant now) {
   if (now < next_job_cleanup_) {
     return;
@@ -265,30 +265,46 @@
          ".";
 }
 
-std::vector<expired_job> work_core::impl::TakeExpired(instant now,
-                                                      std::size_t max_count) {
+std::vector<expired_job> work_core::impl::BeginErasing(instant now,
+                                                       std::size_t max_count) {
   std::vector<expired_job> expired;
-  for (auto it = jobs_.begin();
-       it != jobs_.end() && expired.size() < max_count;) {
-    const job_entry& job = it->second;
+  for (auto& [id, job] : jobs_) {
+    if (expired.size() >= max_count) {
+      break;
+    }
     const bool is_settled =
         job.IsEnded() && job.change == job.last_durable_change &&
         std::all_of(job.units.begin(), job.units.end(),
                     [](const work_unit& unit) { return unit.members.empty(); });
-    if (is_settled && now - job.ended_at > options_.state_retention) {
-      expired.push_back({it->first, job.accepted_version, job.cancel_version,
-                         job.record_version});
-      waiting_jobs_.erase(
-          {job.accepted.priority, job.accepted_version, job.accepted.id});
-      open_jobs_.erase(it->first);
-      it = jobs_.erase(it);
-    } else {
-      ++it;
+    if (is_settled && !job.is_erasing &&
+        now - job.ended_at > options_.state_retention) {
+      job.is_erasing = true;
+      expired.push_back(
+          {id, job.accepted_version, job.cancel_version, job.record_version});
     }
   }
   return expired;
 }
 
+// A job is forgotten only once its rows are gone: a row of a job that is not
+// known is taken for a new job.
+void work_core::impl::FinishErasing(const std::string& id, bool are_rows_gone) {
+  const auto it = jobs_.find(id);
+  if (it == jobs_.end()) {
+    return;
+  }
+  const job_entry& job = it->second;
+  if (!are_rows_gone) {
+    it->second.is_erasing = false;
+    return;
+  }
+  waiting_jobs_.erase(
+      {job.accepted.priority, job.accepted_version, job.accepted.id});
+  open_jobs_.erase(id);
+  changed_jobs_.erase(id);
+  jobs_.erase(it);
+}
+
 void work_core::impl::LogEvent(std::string_view event,
                                const std::string& job,
                                const std::string& task,
@@ -429,9 +445,13 @@
   return impl_->Summary(now);
 }
 
-std::vector<expired_job> work_core::TakeExpired(instant now,
-                                                std::size_t max_count) {
-  return impl_->TakeExpired(now, max_count);
+std::vector<expired_job> work_core::BeginErasing(instant now,
+                                                 std::size_t max_count) {
+  return impl_->BeginErasing(now, max_count);
+}
+
+void work_core::OnErased(const std::string& id, bool are_rows_gone) {
+  impl_->FinishErasing(id, are_rows_gone);
 }
 
 }  // namespace sassafras::sched
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -43,7 +43,8 @@
   void RemoveSettledFromOpenJobs(instant now);
   std::map<std::string, int> WaitingByQueue() const;
   std::string Explain(const std::string& id) const;
-  std::vector<expired_job> TakeExpired(instant now, std::size_t max_count);
+  std::vector<expired_job> BeginErasing(instant now, std::size_t max_count);
+  void FinishErasing(const std::string& id, bool are_rows_gone);
 
   // work_minions.cc
   void HandleMinionList(instant now, const std::vector<minion_report>& minions);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -109,6 +109,7 @@
   std::uint64_t record_version = 0;
   std::uint64_t cancel_version = 0;
   instant ended_at;
+  bool is_erasing = false;  ///< The caller is erasing its rows.
 
   bool IsEnded() const {
     return state == job_state::kComplete || state == job_state::kFailed ||
--- a/tests/job_owner_test.cc
+++ b/tests/job_owner_test.cc
@@ -1,7 +1,9 @@
 #include "programs/entry/job_owner.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 
 #include "tests/owner_world.h"
@@ -59,4 +61,97 @@
   }
 }
 
+// Guards against jobs that run a second time, because the owner has forgotten
+// them before their rows are gone.
+TEST_CASE("A complete job does not run again") {
+  owner_world world;
+  world.Run(1s);
+  world.Submit(kJob, 4, 500ms);
+  world.Run(4s);
+  REQUIRE(world.starts[kJob] == 4);
+  const auto is_stored = [&] {
+    return world.table.rows.contains(sched::JobKey(kJob)) ||
+           world.table.rows.contains(sched::kRecordTable + kJob);
+  };
+  const auto erases = [](const table_transaction& transaction,
+                         const std::string& key) {
+    return std::any_of(transaction.begin(), transaction.end(),
+                       [&](const table_write& write) {
+                         return write.should_erase && write.key == key;
+                       });
+  };
+  std::string refused_key = sched::JobKey(kJob);
+  commit_answer refusal{
+      answer_state::kNotDone, error_kind::kStoreUnavailable, {}};
+  bool takes_effect = false;
+  int refusals = 0;
+  world.intercept_commit = [&](const table_transaction& transaction)
+      -> std::optional<commit_answer> {
+    if (refused_key.empty() || !erases(transaction, refused_key)) {
+      return std::nullopt;
+    }
+    ++refusals;
+    if (takes_effect) {
+      world.table.Commit(transaction);
+      refused_key.clear();
+    }
+    return refusal;
+  };
+
+  SECTION("after its removal was refused and history was lost") {
+    world.Run(35s);
+    REQUIRE(refusals > 0);
+    world.ForgetHistory();
+    world.Run(3s);
+    CHECK(world.starts[kJob] == 4);
+    SECTION("and its rows are removed when the store allows it") {
+      refused_key.clear();
+      world.Run(15s);
+      CHECK_FALSE(is_stored());
+      CHECK(world.starts[kJob] == 4);
+    }
+  }
+  SECTION("after the removal of its record was refused") {
+    refused_key = sched::kRecordTable + kJob;
+    world.Run(35s);
+    REQUIRE(refusals > 0);
+    world.ForgetHistory();
+    world.Run(3s);
+    refused_key.clear();
+    world.Run(15s);
+    CHECK_FALSE(is_stored());
+    CHECK(world.starts[kJob] == 4);
+  }
+  SECTION("after its removal took effect without an answer") {
+    refusal = {answer_state::kUnknown, error_kind::kStoreUnknown, {}};
+    takes_effect = true;
+    world.Run(35s);
+    REQUIRE(refusals > 0);
+    world.ForgetHistory();
+    world.Run(15s);
+    CHECK_FALSE(is_stored());
+    CHECK(world.starts[kJob] == 4);
+  }
+  SECTION("after a scan that was answered when its rows were gone") {
+    refused_key.clear();
+    world.Run(GENERATE(5s, 15s));
+    world.scan_time = 15s;
+    world.ForgetHistory();
+    world.Run(40s);
+    CHECK(world.starts[kJob] == 4);
+    world.scan_time = owner_world::kCallTime;
+    world.Run(60s);
+    CHECK_FALSE(is_stored());
+    CHECK(world.starts[kJob] == 4);
+  }
+  SECTION("after a change of owner amid its removal") {
+    refused_key = sched::kRecordTable + kJob;
+    world.Run(35s);
+    REQUIRE(refusals > 0);
+    world.ReplaceOwner();
+    world.Run(10s);
+    CHECK(world.starts[kJob] == 4);
+  }
+}
+
 }  // namespace sassafras
--- a/tests/owner_world.h
+++ b/tests/owner_world.h
@@ -105,6 +105,7 @@
   std::map<std::string, sched::machine_row> machines;
   std::map<std::string, int> starts;   ///< Executed starts by job.
   std::map<std::string, int> upkeeps;  ///< Executed upkeeps by machine.
+  duration scan_time = kCallTime;      ///< From a scan to its answer.
   /// Decides the answer to a commit before it takes effect; empty: it is
   /// carried out.
   std::function<std::optional<commit_answer>(const table_transaction&)>
@@ -165,7 +166,8 @@
     adapter.table.scan = [this](const std::string& prefix,
                                 const std::string& after, std::size_t limit,
                                 std::function<void(read_answer)> done) {
-      Reply<read_answer>(done, table.Scan(prefix, after, limit));
+      const read_answer answer = table.Scan(prefix, after, limit);
+      After(scan_time, [done, answer] { done(answer); });
     };
     adapter.table.follow = [this](const std::string&, std::uint64_t after,
                                   duration,
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -62,14 +62,25 @@
   fleet.Run(500ms);
   fleet.Cancel("b");
   fleet.Run(1s);
-  CHECK(fleet.core->TakeExpired(fleet.now + 60s, 10).empty());
-  const auto expired = fleet.core->TakeExpired(fleet.now + 200s, 10);
+  CHECK(fleet.core->BeginErasing(fleet.now + 60s, 10).empty());
+  const auto expired = fleet.core->BeginErasing(fleet.now + 200s, 10);
   REQUIRE(expired.size() == 2);
   CHECK(expired[0].id == "a");
   CHECK(expired[0].cancel_version == 0);
   CHECK(expired[0].record_version == fleet.table.Read("records/a").version);
   CHECK(expired[1].cancel_version == fake_fleet::kCancelVersion);
-  CHECK_FALSE(fleet.core->StateOf("a"));
+
+  SECTION("they are known until their rows are gone") {
+    CHECK(fleet.StateOf("a") == job_state::kComplete);
+    CHECK(fleet.core->BeginErasing(fleet.now + 200s, 10).empty());
+    fleet.core->OnErased("a", true);
+    CHECK_FALSE(fleet.core->StateOf("a"));
+  }
+  SECTION("rows that were not erased are returned again") {
+    fleet.core->OnErased("a", false);
+    CHECK(fleet.StateOf("a") == job_state::kComplete);
+    CHECK(fleet.core->BeginErasing(fleet.now + 200s, 10).size() == 1);
+  }
 }
 
 TEST_CASE("An occurrence starts only after its due time") {
