Restart lasting tasks whose end is told to the next owner again

Cause: an end that is not acknowledged yet is told to the next owner again. Its run is no longer known, and the function for such ends did not ask whether the step is persistent: it marked the unit as done and closed its next run.

Change: CompletesUnit() decides for ends of known and of unknown runs.

Evidence: the new test, on the code before: the job was complete and 0 of 4 tasks ran.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -154,6 +154,9 @@
   void CloseNeedlessRuns(instant now, job_entry& job);
   void ReleaseMember(job_entry& job, work_unit& unit, unit_member& member);
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
+  static bool CompletesUnit(const job_entry& job,
+                            const work_unit& unit,
+                            run_end how);
   void HandleEnd(instant now,
                  minion_entry& minion,
                  const member_ref& ref,
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -375,6 +375,17 @@
   CloseRun(now, *ref.job, *ref.unit, cause, detail);
 }
 
+// Returns whether an end of a run of the unit makes it done. It must be asked
+// of every end: one that is not acknowledged yet is told to the next owner
+// again, when its run may no longer be known. Tasks of a persistent step are
+// started again however they end.
+bool work_core::impl::CompletesUnit(const job_entry& job,
+                                    const work_unit& unit,
+                                    run_end how) {
+  return how == run_end::kDone && !unit.is_done &&
+         !job.accepted.spec.steps.at(unit.step).is_persistent;
+}
+
 void work_core::impl::HandleEnd(instant now,
                                 minion_entry& minion,
                                 const member_ref& ref,
@@ -388,9 +399,7 @@
   }
   KeepNewer(unit.checkpoint, end.checkpoint);
   ReleaseMember(job, unit, *ref.member);
-  const bool is_persistent =
-      job.accepted.spec.steps.at(unit.step).is_persistent;
-  if (end.how == run_end::kDone && !unit.is_done && !is_persistent) {
+  if (CompletesUnit(job, unit, end.how)) {
     job.SetDone(unit);
     MarkChanged(job);
   } else if (end.how == run_end::kFailed) {
@@ -402,12 +411,11 @@
   UpdateState(now, job);
 }
 
-// Handles an end that its minion lists as done after the run was considered
-// terminated. It counts unless the unit is already done; a newer run of the
-// unit is then closed.
+// Handles an end of a run that was considered terminated, by this owner or an
+// earlier one. If it makes the unit done, a newer run of the unit is closed.
 void work_core::impl::HandleLateEnd(instant now, const listed_end& end) {
   const auto it = jobs_.find(end.run.task.job);
-  if (end.how != run_end::kDone || it == jobs_.end()) {
+  if (it == jobs_.end()) {
     return;
   }
   job_entry& job = it->second;
@@ -416,7 +424,8 @@
         unit.occurrence == end.run.task.occurrence &&
         unit.step == end.run.task.step &&
         (unit.width > 1 || unit.index == end.run.task.index);
-    if (is_same_unit && !unit.is_done && unit.run >= end.run.run) {
+    if (is_same_unit && unit.run >= end.run.run &&
+        CompletesUnit(job, unit, end.how)) {
       counters_.Add("sched_late_done");
       LogEvent("late_done", job.accepted.id, FormatRun(end.run), "", "");
       job.SetDone(unit);
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -224,7 +224,10 @@
   }
 
   /// Ends each run of `job` on any minion as failed.
-  void FailRuns(const std::string& job) {
+  void FailRuns(const std::string& job) { EndRuns(job, run_end::kFailed); }
+
+  /// Ends each run of `job` on any minion with `outcome`.
+  void EndRuns(const std::string& job, run_end outcome) {
     for (auto& [id, minion] : minions) {
       std::vector<run_key> runs;
       for (const auto& [run, held] : minion.running) {
@@ -233,7 +236,7 @@
         }
       }
       for (const run_key& run : runs) {
-        EndRun(minion, run, run_end::kFailed);
+        EndRun(minion, run, outcome);
       }
     }
   }
--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -120,6 +120,33 @@
   }
 }
 
+// Guards against lasting tasks that are stopped for good, because the next
+// owner is told again of an end that the former one has handled.
+TEST_CASE("A persistent step outlives the owner that restarted its tasks") {
+  fake_fleet fleet({});
+  accepted_job job = OneStep("a", 1, 4, kSmall, 60s);
+  job.spec.steps[0].is_persistent = true;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 4);
+  const run_end outcome =
+      GENERATE(run_end::kDone, run_end::kFailed, run_end::kStopped);
+  fleet.EndRuns("a", outcome);
+  // Long enough for the next runs to start, too short for the ends to be
+  // acknowledged.
+  fleet.Run(150ms);
+  REQUIRE(fleet.CountRunning("a") == 4);
+  const bool is_end_pending =
+      std::any_of(fleet.minions.begin(), fleet.minions.end(),
+                  [](const auto& item) { return !item.second.ended.empty(); });
+  REQUIRE(is_end_pending);
+  fleet.ReplaceOwner();
+  fleet.Run(4s);
+  CHECK(fleet.StateOf("a") == job_state::kRunning);
+  CHECK(fleet.CountRunning("a") == 4);
+  CHECK(fleet.starts["a"] == 8);
+}
+
 TEST_CASE("Fillers are slowed down to protect a serving task") {
   fake_fleet::options options;
   options.minions = 1;
