Count a failed run of a gang once across a change of owner

Cause: the record names the failed runs of a unit, but not whether the latest run is among them. When another member of that run is listed as failed to the next owner, the run was counted again, and a job could be shown as failed with an attempt left.

Change: the record says whether the latest run is counted; older rows are read as before.

Evidence: the new test failed before, 3 of 6 checks: the job had failed after one of two attempts.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -73,6 +73,8 @@
   bool is_done = false;
   std::string checkpoint;
   std::vector<recorded_member> members;  ///< Members that may still run.
+  /// The latest run is among `failed_runs`; further members of it may fail.
+  bool has_run_failed = false;
 };
 
 /// State of one job that the next owner needs. A unit that is done and has no
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -9,6 +9,8 @@
 using nlohmann::json;
 
 constexpr int kRowFormat = 1;
+// Optional element of a recorded unit; rows of earlier builds end before it.
+constexpr std::size_t kRunFailedIndex = 8;
 constexpr std::string_view kCancelSuffix = ".cancel";
 // kJobTable without the slash; parts are named after it.
 constexpr std::string_view kJobTableName = "jobs";
@@ -84,9 +86,13 @@
     members.push_back(
         json::array({member.index, member.minion, member.incarnation_unix_ms}));
   }
-  return json::array({unit.occurrence, unit.step, unit.index, unit.run,
-                      unit.failed_runs, unit.is_done, unit.checkpoint,
-                      std::move(members)});
+  json document = json::array({unit.occurrence, unit.step, unit.index, unit.run,
+                               unit.failed_runs, unit.is_done, unit.checkpoint,
+                               std::move(members)});
+  if (unit.has_run_failed) {
+    document.push_back(true);
+  }
+  return document;
 }
 
 recorded_unit ToUnit(const json& document) {
@@ -101,6 +107,8 @@
   for (const json& member : document.at(7)) {
     unit.members.push_back({member.at(0), member.at(1), member.at(2)});
   }
+  unit.has_run_failed =
+      document.size() > kRunFailedIndex && document.at(kRunFailedIndex);
   return unit;
 }
 
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -172,6 +172,7 @@
     }
     it->run = recorded.run;
     it->failed_runs = recorded.failed_runs;
+    it->has_run_failed = recorded.has_run_failed;
     if (recorded.is_done) {
       entry.SetDone(*it);
     }
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -25,8 +25,9 @@
       continue;
     }
     recorded_unit recorded{
-        unit.occurrence,  unit.step,    unit.index,      unit.run,
-        unit.failed_runs, unit.is_done, unit.checkpoint, {}};
+        unit.occurrence,    unit.step,    unit.index,      unit.run,
+        unit.failed_runs,   unit.is_done, unit.checkpoint, {},
+        unit.has_run_failed};
     for (const unit_member& member : unit.members) {
       if (member.phase != member_phase::kTerminated) {
         recorded.members.push_back({member.index, member.incarnation.id,
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -429,6 +429,34 @@
   }
 }
 
+// Guards against a run that uses up two attempts, because the next owner is
+// told of the failure of a second member of its gang.
+TEST_CASE("A failed run of a gang counts once across a change of owner") {
+  fake_fleet fleet({});
+  accepted_job job = Gang("a", 1, 3);
+  job.max_attempts = 2;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 3);
+  std::string partitioned;
+  for (auto& [id, minion] : fleet.minions) {
+    if (partitioned.empty() && !minion.running.empty()) {
+      partitioned = id;
+      minion.is_partitioned = true;
+    }
+  }
+  fleet.FailRuns("a");
+  fleet.Run(1s);
+  fleet.ReplaceOwner();
+  fleet.minions.at(partitioned).is_partitioned = false;
+  fleet.Run(1s);
+  CHECK(fleet.StateOf("a") == job_state::kRunning);
+  REQUIRE(fleet.RunUntilEnded(10s));
+  CHECK(fleet.StateOf("a") == job_state::kComplete);
+  CHECK(fleet.starts["a"] == 6);
+  CheckNoViolations(fleet);
+}
+
 TEST_CASE(
     "Under random faults no task runs twice and no capacity is exceeded") {
   const int seed = GENERATE(range(1, 25));
