Refuse submissions whose numbers cannot be reckoned with

Cause: neither a submission nor a stored row was checked for amounts, times and limits. A negative amount lowers what is in use on a minion below 0.

Change: FindFault() states what a sound job is; submissions are refused with the reason and rows that are not sound are skipped. A job has at most 100,000 tasks. tools/test.sh no longer fails on a KNOWN-RED.txt with comments only.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -52,8 +52,8 @@
 /// Encodes a row as JSON; invalid UTF-8 in texts is replaced.
 std::string EncodeJobRow(const job_row& row);
 
-/// Decodes a row; kMalformed if it is not JSON, or if a field is missing or has
-/// another type.
+/// Decodes a row; kMalformed if it is not JSON, if a field is missing or has
+/// another type, or if the job is not sound.
 result<job_row> DecodeJobRow(const std::string& text);
 
 /// Minion to which one member of a run was sent.
--- a/include/sassafras/sched/job_model.h
+++ b/include/sassafras/sched/job_model.h
@@ -2,7 +2,9 @@
 #define SASSAFRAS_SCHED_JOB_MODEL_H_
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,6 +54,13 @@
   return left += right;
 }
 
+/// Limit of each amount of a task or minion. Far above any of them, and so low
+/// that sums over a fleet do not overflow.
+inline constexpr std::int64_t kMaxAmount = 1'000'000'000;
+
+/// Whether each amount is from 0 to kMaxAmount.
+bool IsInRange(const resource_amounts& amounts);
+
 /// One step of a job: `count` identical tasks.
 struct step_spec {
   int count = 0;
@@ -93,6 +102,19 @@
   std::int64_t interval_ms = 0;  ///< Between the due times of occurrences.
 };
 
+/// Limits of a job. The owner of the jobs holds each task of each occurrence in
+/// memory.
+inline constexpr std::size_t kMaxSteps = 1000;
+inline constexpr int kMaxTasksPerStep = 10'000;
+inline constexpr int kMaxOccurrences = 10'000;
+inline constexpr std::int64_t kMaxTasksPerJob = 100'000;
+
+/// Describes why `spec` is no sound job: a number is out of range, or a step
+/// depends on itself or a later one. Empty if it is sound. The scheduler's
+/// decisions rely on sound jobs, so that each job is checked when a caller
+/// submits it and when its row is read.
+std::optional<std::string> FindFault(const job_spec& spec);
+
 /// An accepted job, with the settings of its queue at the time of acceptance.
 struct accepted_job {
   std::string id;
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -188,6 +188,9 @@
     job.spec.first_due_unix_ms =
         document.value("first_due_unix_ms", std::int64_t{0});
     job.spec.interval_ms = document.value("interval_ms", std::int64_t{0});
+    if (const auto fault = FindFault(job.spec)) {
+      return Fail(error_kind::kMalformed, *fault);
+    }
     return row;
   } catch (const json::exception& failure) {
     return Fail(error_kind::kMalformed, failure.what());
--- a/tests/job_owner_test.cc
+++ b/tests/job_owner_test.cc
@@ -193,4 +193,27 @@
   }
 }
 
+// Guards against a row, accepted by an earlier build, that ends each process
+// that owns the jobs.
+TEST_CASE("A stored job that is not sound costs only itself") {
+  owner_world world;
+  world.Run(1s);
+  sched::accepted_job job =
+      sched::OneStep("00000000000000f1", 1, 4, {1000, 1000, -1}, 500ms);
+  job.queue = "q";
+  job.service = "lab";
+  job.spec.steps[0].is_gang = true;
+  world.PutRow(sched::JobKey(job.id), sched::EncodeJobRow({false, job}));
+  world.Run(3s);
+  world.Submit(kJob, 4, 500ms);
+  world.Run(3s);
+  CHECK(world.starts[job.id] == 0);
+  CHECK(world.starts[kJob] == 4);
+  CHECK(world.counters.Get("job_row_malformed") == 1);
+  world.ReplaceOwner();
+  world.Run(5s);
+  CHECK(world.owner->IsOwner());
+  CHECK(world.counters.Get("job_row_malformed") == 2);
+}
+
 }  // namespace sassafras
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -221,6 +221,52 @@
   }
 }
 
+// Guards against a submission that ends each process that owns the jobs.
+TEST_CASE("Submission with a number out of range is refused") {
+  const auto decode = [](const json& step_changes, const json& job_changes) {
+    json step = {{"count", 4}, {"gpu", 1}, {"gang", true}};
+    step.update(step_changes);
+    json document = {{"spec", "x"}, {"steps", json::array({step})}};
+    document.update(job_changes);
+    return DecodeJob(document.dump());
+  };
+  REQUIRE(decode(json::object(), json::object()));
+
+  SECTION("in a step") {
+    for (const char* field : {"count", "gpu", "cpu", "memMb", "estimateMs",
+                              "maxPerServer", "mayMiss", "targetMs"}) {
+      for (const json& number : {json(-1), json(-1e300), json(INT64_MIN)}) {
+        INFO(field << " " << number);
+        const auto job = decode({{field, number}}, json::object());
+        REQUIRE_FALSE(job);
+        CHECK(job.error().detail.starts_with("step 0: "));
+      }
+    }
+    for (const char* field : {"count", "gpu", "cpu", "memMb", "estimateMs"}) {
+      for (const json& number :
+           {json(1e300), json(INT64_MAX), json((1LL << 40) + 1)}) {
+        INFO(field << " " << number);
+        CHECK_FALSE(decode({{field, number}}, json::object()));
+      }
+    }
+    CHECK_FALSE(decode({{"count", (1LL << 32) + 1}}, json::object()));
+  }
+  SECTION("in its schedule") {
+    for (const char* field : {"times", "startAtMs", "intervalMs"}) {
+      for (const json& number : {json(-1), json(-1e300), json(1e300)}) {
+        INFO(field << " " << number);
+        json schedule = {{"times", 2}};
+        schedule[field] = number;
+        CHECK_FALSE(decode(json::object(), schedule));
+      }
+    }
+  }
+  SECTION("with more tasks than a process can hold") {
+    CHECK_FALSE(decode({{"count", 10'000}}, {{"times", 10'000}}));
+    CHECK(decode({{"count", 10}}, {{"times", 10'000}}));
+  }
+}
+
 TEST_CASE("Request of a caller is decoded") {
   http_request request;
   request.method = "DELETE";
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -14,7 +14,7 @@
 # First field of each entry line: the ctest name, up to " | ".
 exclude=()
 if [ -s KNOWN-RED.txt ]; then
-  pattern=$(grep -v '^#' KNOWN-RED.txt | sed -e 's/ | .*//' -e 's/[][().*+?^$|\\]/\\&/g' | paste -sd '|' -)
+  pattern=$({ grep -v '^#' KNOWN-RED.txt || true; } | sed -e 's/ | .*//' -e 's/[][().*+?^$|\\]/\\&/g' | paste -sd '|' -)
   if [ -n "$pattern" ]; then
     exclude=(-E "^(${pattern})\$")
     echo "known red (KNOWN-RED.txt), run for information:"
