Rule a job out before its cancelling is answered with 410

Cause: the cancelling found no row and said so. The writes of the submission, whose answers were lost, took effect later.

Change: a tombstone is written over the version that was read before the answer. A conflict starts the cancelling again; an unknown outcome is told as unknown.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -30,6 +30,9 @@
 // that callers do not all retry at once.
 constexpr duration kMinRetryDelay = std::chrono::milliseconds(500);
 constexpr duration kMaxRetryDelay = std::chrono::seconds(3);
+// Tries of a cancelling, each after the job's row has changed since it was
+// read.
+constexpr int kMaxCancelTries = 3;
 
 std::string_view GetName(acceptance_result outcome) {
   switch (outcome) {
@@ -233,7 +236,7 @@
   } else if (call.verb == caller_verb::kQuery) {
     ReadJobState(id, answer);
   } else {
-    CancelJob(id, answer);
+    CancelJob(id, 1, answer);
   }
 }
 
@@ -369,8 +372,10 @@
   });
 }
 
-void caller_service::CancelJob(const std::string& id, const reply& answer) {
-  deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(), id,
+void caller_service::CancelJob(const std::string& id,
+                               int tries,
+                               const reply& answer) {
+  deps_.table.read({sched::JobKey(id)}, [self = shared_from_this(), id, tries,
                                          answer](const read_answer& read) {
     if (read.state != answer_state::kDone) {
       answer(self->MakeRefusal(error_kind::kStoreUnavailable,
@@ -380,13 +385,40 @@
     const table_row& row = read.rows.front();
     const auto job = sched::DecodeJobRow(row.value);
     if (row.version == 0 || !job || job.value().is_refusal) {
-      answer(self->MakeRefusal(error_kind::kNoSuchJob, "never accepted"));
+      self->RefuseUnknownJob(id, row.version, tries, answer);
       return;
     }
     self->WriteCancelMark(id, answer);
   });
 }
 
+// A write of the submission whose answer was lost may still take effect, after
+// the caller was told that there is no such job. The tombstone makes it fail,
+// because it changes the version of the row.
+void caller_service::RefuseUnknownJob(const std::string& id,
+                                      std::uint64_t version,
+                                      int tries,
+                                      const reply& answer) {
+  deps_.table.commit(
+      {{sched::JobKey(id), version, sched::EncodeJobRow({true, {}})}},
+      [self = shared_from_this(), id, tries,
+       answer](const commit_answer& stored) {
+        if (stored.state == answer_state::kDone) {
+          answer(self->MakeRefusal(error_kind::kNoSuchJob, "never accepted"));
+        } else if (stored.state == answer_state::kNotDone &&
+                   stored.reason == error_kind::kConflict &&
+                   tries < kMaxCancelTries) {
+          self->deps_.counters.Add("cancel_repeated");
+          self->CancelJob(id, tries + 1, answer);
+        } else {
+          answer(self->MakeRefusal(stored.state == answer_state::kUnknown
+                                       ? error_kind::kStoreUnknown
+                                       : error_kind::kStoreUnavailable,
+                                   "the job could not be ruled out"));
+        }
+      });
+}
+
 void caller_service::WriteCancelMark(const std::string& id,
                                      const reply& answer) {
   deps_.table.commit({{sched::CancelKey(id), 0, "{}"}}, [self =
--- a/programs/entry/caller_service.h
+++ b/programs/entry/caller_service.h
@@ -89,7 +89,11 @@
                         const reply& answer);
   void ReadJobState(const std::string& id, const reply& answer);
   void ReadAcceptedJob(const std::string& id, const reply& answer);
-  void CancelJob(const std::string& id, const reply& answer);
+  void CancelJob(const std::string& id, int tries, const reply& answer);
+  void RefuseUnknownJob(const std::string& id,
+                        std::uint64_t version,
+                        int tries,
+                        const reply& answer);
   void WriteCancelMark(const std::string& id, const reply& answer);
   void ReadWaitingCount(const std::string& queue, const reply& answer);
   sched::caller_answer MakeRefusal(error_kind kind, std::string detail) const;
--- a/tests/call_relay_test.cc
+++ b/tests/call_relay_test.cc
@@ -239,13 +239,17 @@
     };
     adapter.decode_call = [](const http_request& request) {
       sched::caller_call call;
-      call.verb = request.method == "POST" ? sched::caller_verb::kSubmit
-                                           : sched::caller_verb::kQuery;
+      call.verb = request.method == "POST"     ? sched::caller_verb::kSubmit
+                  : request.method == "DELETE" ? sched::caller_verb::kCancel
+                                               : sched::caller_verb::kQuery;
       call.path = request.path;
       return call;
     };
     adapter.decode_job = [](const std::string&) -> result<sched::job_spec> {
-      return sched::job_spec{};
+      sched::job_spec spec;
+      spec.steps.emplace_back();
+      spec.steps.back().count = 1;
+      return spec;
     };
     adapter.encode_answer = [](const sched::caller_answer& answer) {
       http_response response;
@@ -253,9 +257,19 @@
       if (answer.failure == error_kind::kStoreUnknown) {
         response.status = 504;
       }
+      if (answer.failure == error_kind::kNoSuchJob) {
+        response.status = 410;
+      }
       return response;
     };
-    port = store.Wrap(table.Port());
+    table_port table_calls = table.Port();
+    table_calls.commit = [this](
+                             const table_transaction& transaction,
+                             const std::function<void(commit_answer)>& done) {
+      const auto intercept = intercept_commit;
+      done(intercept ? intercept(transaction) : table.Commit(transaction));
+    };
+    port = store.Wrap(table_calls);
     config_watch::hooks hooks;
     hooks.now = [this] { return now; };
     hooks.after = [](duration, const std::function<void()>&) {};
@@ -300,9 +314,16 @@
     }
   }
 
+  // Lets this process notice that the store answers again.
+  void RegainStore() {
+    port.read({"x/y"}, [](const read_answer&) {});
+  }
+
   instant now = kStart;
   counter_table counters;
   fake_table table;
+  /// Answers commits instead of the table; empty: the table does.
+  std::function<commit_answer(const table_transaction&)> intercept_commit;
   store_watch store;
   metrics metrics_registry;
   entry_settings settings;
@@ -369,5 +390,80 @@
   }
 }
 
+// Guards against a job that starts after its caller was told that it does not
+// exist.
+TEST_CASE("A submission whose write was lost is cancelled") {
+  service_world world;
+  const std::string id = "5c0e7a21d94b36f8";
+  const std::string key = sched::JobKey(id);
+  // The store answers no write of the job, and performs them later.
+  std::vector<table_transaction> held_writes;
+  world.intercept_commit = [&](const table_transaction& transaction) {
+    held_writes.push_back(transaction);
+    return commit_answer{answer_state::kUnknown, error_kind::kStoreUnknown, {}};
+  };
+  const auto perform_held_writes = [&] {
+    for (const table_transaction& transaction : held_writes) {
+      world.table.Commit(transaction);
+    }
+    held_writes.clear();
+  };
+  const auto is_accepted = [&] {
+    const table_row row = world.table.Read(key);
+    const auto job = sched::DecodeJobRow(row.value);
+    return row.version != 0 && job && !job.value().is_refusal;
+  };
+  CHECK(world.Call("POST") == 504);
+  REQUIRE_FALSE(held_writes.empty());
+  world.RegainStore();
+
+  SECTION("before it takes effect: it never does") {
+    world.intercept_commit = nullptr;
+    CHECK(world.Call("DELETE") == 410);
+    perform_held_writes();
+    CHECK_FALSE(is_accepted());
+    CHECK(world.Call("GET") == 410);
+  }
+  SECTION("after an earlier refusal, whose mark the lost write replaces") {
+    world.intercept_commit = nullptr;
+    held_writes.clear();
+    world.table.Commit({{key, 0, sched::EncodeJobRow({true, {}})}});
+    world.intercept_commit = [&](const table_transaction& transaction) {
+      if (transaction[0].expected_version == 0) {
+        return world.table.Commit(transaction);
+      }
+      held_writes.push_back(transaction);
+      return commit_answer{
+          answer_state::kUnknown, error_kind::kStoreUnknown, {}};
+    };
+    CHECK(world.Call("POST") == 504);
+    REQUIRE_FALSE(held_writes.empty());
+    world.RegainStore();
+    world.intercept_commit = nullptr;
+    CHECK(world.Call("DELETE") == 410);
+    perform_held_writes();
+    CHECK_FALSE(is_accepted());
+  }
+  SECTION("while it takes effect: the job is cancelled") {
+    world.intercept_commit = [&](const table_transaction& transaction) {
+      world.intercept_commit = nullptr;
+      perform_held_writes();
+      return world.table.Commit(transaction);
+    };
+    CHECK(world.Call("DELETE") == 200);
+    CHECK(is_accepted());
+    CHECK(world.table.Read(sched::CancelKey(id)).version != 0);
+  }
+  SECTION("and the store does not answer that either: the outcome is unknown") {
+    CHECK(world.Call("DELETE") == 504);
+  }
+  SECTION("and a later submission of the same id is accepted") {
+    world.intercept_commit = nullptr;
+    CHECK(world.Call("DELETE") == 410);
+    CHECK(world.Call("POST") == 200);
+    CHECK(is_accepted());
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
