Show a job as running once a minion lists it to the next owner

Cause: a run is recorded before its start, the state after it. The next owner took the recorded run as confirmed, so that nothing updated the state.

Change: a restored unit counts as started if it is done or the recorded state says so; the first listing or end of its run tells otherwise.

--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -176,7 +176,9 @@
     if (recorded.is_done) {
       entry.SetDone(*it);
     }
-    it->has_started = recorded.run > 0 || recorded.is_done;
+    // A run may have been recorded and not started.
+    it->has_started = recorded.is_done ||
+                      (recorded.run > 0 && record.state != job_state::kQueued);
     it->checkpoint = recorded.checkpoint;
     if (it->is_done) {
       SetPhase(entry, *it, unit_phase::kDone);
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -398,6 +398,7 @@
                 "runs of several jobs failed on it without a success");
   }
   KeepNewer(unit.checkpoint, end.checkpoint);
+  unit.has_started = true;
   ReleaseMember(job, unit, *ref.member);
   if (CompletesUnit(job, unit, end.how)) {
     job.SetDone(unit);
--- a/tests/sched_core_test.cc
+++ b/tests/sched_core_test.cc
@@ -429,6 +429,56 @@
   }
 }
 
+// Guards against a job that is shown as queued while it runs, because its owner
+// was replaced after its start and before the record of it.
+TEST_CASE("A job that runs is shown as running by the next owner") {
+  fake_fleet fleet({});
+  accepted_job job = OneStep("a", 1, 2, kSmall, 400ms);
+  const auto start_and_replace = [&] {
+    fleet.Submit(job);
+    for (int i = 0; i < 40 && fleet.starts["a"] < 2; ++i) {
+      fleet.Run(fake_fleet::kStep);
+    }
+    REQUIRE(fleet.starts["a"] == 2);
+    const auto record = DecodeRecord(fleet.table.Read("records/a").value);
+    REQUIRE(record.value().state == job_state::kQueued);
+    fleet.ReplaceOwner();
+    CHECK(fleet.StateOf("a") == job_state::kQueued);
+  };
+
+  SECTION("as soon as a minion lists one of its tasks") {
+    job.spec.steps[0].is_persistent = true;
+    start_and_replace();
+    fleet.Run(300ms);
+    CHECK(fleet.StateOf("a") == job_state::kRunning);
+    CHECK(fleet.core->WaitingByQueue().empty());
+    CHECK(fleet.starts["a"] == 2);
+  }
+  SECTION("if one of its tasks has ended before") {
+    job.spec.steps.push_back(job.spec.steps[0]);
+    job.spec.steps[1].after = {0};
+    job.spec.steps[1].needs = {1'000'000, 1, 1};  // Fits on no minion.
+    start_and_replace();
+    for (auto& [id, minion] : fleet.minions) {
+      minion.is_partitioned = true;
+    }
+    fleet.Run(500ms);
+    for (auto& [id, minion] : fleet.minions) {
+      minion.is_partitioned = false;
+    }
+    fleet.Run(2s);
+    CHECK(fleet.StateOf("a") == job_state::kRunning);
+  }
+  SECTION("and as queued if nothing was started") {
+    job.spec.steps[0].needs = {1'000'000, 1, 1};  // Fits on no minion.
+    fleet.Submit(job);
+    fleet.Run(300ms);
+    fleet.ReplaceOwner();
+    fleet.Run(300ms);
+    CHECK(fleet.StateOf("a") == job_state::kQueued);
+  }
+}
+
 // Guards against a run that uses up two attempts, because the next owner is
 // told of the failure of a second member of its gang.
 TEST_CASE("A failed run of a gang counts once across a change of owner") {
