Start lasting tasks on avoided minions rather than not at all

Cause: failures of several jobs on a minion bring it under avoidance, longer each time; lasting tasks never end as a success, so that all minions were avoided at once.

Change: a task of a persistent step that has waited for 2 s may be placed on an avoided minion if no other has room. Other work keeps off them as before.

Evidence: the new test failed before, with pauses of 6.6 s and 7.5 s against a bound of 4 s. All 104 assertions of sched_minions_test pass now.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -18,6 +19,11 @@
 
 namespace sassafras::sched {
 
+/// Health of a minion that takes tasks, and of one that is kept from them only
+/// because its runs failed, stalled or were not answered.
+inline constexpr std::string_view kUsable = "usable";
+inline constexpr std::string_view kAvoided = "avoided";
+
 /// State and decisions of work_core. work_core.cc processes rows, work_runs.cc
 /// tracks runs, work_minions.cc tracks minions, work_wakeups.cc schedules when
 /// each minion is handled next, work_placing.cc and work_evicting.cc place and
@@ -268,6 +274,11 @@
                           const eviction_claim& claim,
                           minion_view& view);
   bool TryPlace(instant now, job_entry& job, work_unit& unit);
+  static bool CanUseAvoidedMinions(instant now, const unit_ref& unit);
+  bool TryPlaceOnAvoided(instant now,
+                         job_entry& job,
+                         work_unit& unit,
+                         const fleet_view& fleet);
   void MarkProvenMinions(instant now, fleet_view& fleet);
   std::optional<std::vector<std::size_t>> FindProvenMinions(
       instant now,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -479,7 +479,7 @@
   if (!minion.is_responsive) {
     return "silent";
   }
-  return minion.trust.IsAvoided(now) ? "avoided" : "usable";
+  return minion.trust.IsAvoided(now) ? kAvoided : kUsable;
 }
 
 // Reasons that occur while the minion is avoided have no further effect.
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -15,6 +15,9 @@
 // Share of its estimate for which a step waits for one rack before it is spread
 // over several: a spread step takes a multiple of its time.
 constexpr double kOneRackWaitShare = 1.0;
+// Wait after which a task of a persistent step is placed on an avoided minion.
+// Such a task must run again within seconds, and has no attempts to lose.
+constexpr duration kAvoidedMinionDelay = std::chrono::seconds(2);
 
 // Counts the tasks that have their own entry in the job's record.
 int TasksInProgress(const job_entry& job) {
@@ -189,6 +192,9 @@
   }
   const step_spec& step = unit.Step();
   const step_spec& other = unplaced.Step();
+  if (CanUseAvoidedMinions(now, unit) && !CanUseAvoidedMinions(now, unplaced)) {
+    return false;
+  }
   const bool has_same_constraints =
       (unit.job->accepted.priority == 0) ==
           (unplaced.job->accepted.priority == 0) &&
@@ -217,7 +223,8 @@
     return false;
   }
   if (!NeedsAdvice(job)) {
-    return TryPlaceAmong(now, job, unit, fleet->second);
+    return TryPlaceAmong(now, job, unit, fleet->second) ||
+           TryPlaceOnAvoided(now, job, unit, fleet->second);
   }
   const std::vector<minion_view>& views = fleet->second.Minions();
   fleet_view advised(AdvisedViews(now, job, unit, views));
@@ -228,6 +235,39 @@
   return false;
 }
 
+bool work_core::impl::CanUseAvoidedMinions(instant now, const unit_ref& unit) {
+  return unit.Step().is_persistent &&
+         now - unit.unit->waiting_since >= kAvoidedMinionDelay;
+}
+
+// Places a unit that has waited too long for another minion on avoided ones.
+bool work_core::impl::TryPlaceOnAvoided(instant now,
+                                        job_entry& job,
+                                        work_unit& unit,
+                                        const fleet_view& fleet) {
+  if (!CanUseAvoidedMinions(now, {&job, &unit})) {
+    return false;
+  }
+  std::vector<minion_view> views = fleet.Minions();
+  bool is_any_avoided = false;
+  for (minion_view& view : views) {
+    view.is_evictable_current = false;
+    if (HealthOf(now, minions_.at(view.id)) == kAvoided) {
+      view.is_usable = true;
+      is_any_avoided = true;
+    }
+  }
+  if (!is_any_avoided) {
+    return false;
+  }
+  fleet_view relaxed(std::move(views));
+  if (!TryPlaceAmong(now, job, unit, relaxed)) {
+    return false;
+  }
+  counters_.Add("sched_placed_on_avoided");
+  return true;
+}
+
 bool work_core::impl::CouldFitInOneRack(const std::string& service,
                                         const fleet_view& fleet,
                                         const unit_ref& unit) {
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -169,8 +169,11 @@
     const bool is_ticket_missing =
         NeedsAdvice(job) &&
         TicketOf(now, job, unit, member.incarnation).empty();
-    if (!is_same || is_ticket_missing || HealthOf(now, minion) != "usable" ||
-        !MayStartAnything(now)) {
+    const std::string_view health = HealthOf(now, minion);
+    const bool is_fit =
+        health == kUsable ||
+        (health == kAvoided && unit_ref{&job, &unit}.Step().is_persistent);
+    if (!is_same || is_ticket_missing || !is_fit || !MayStartAnything(now)) {
       counters_.Add("sched_start_dropped_minion_unfit");
       CloseRun(now, job, unit, close_cause::kMinionUnusable);
       return;
--- a/src/sched/work_summary.cc
+++ b/src/sched/work_summary.cc
@@ -27,7 +27,7 @@
     }
   }
   for (const auto& [id, minion] : minions_) {
-    if (HealthOf(now, minion) != "usable") {
+    if (HealthOf(now, minion) != kUsable) {
       ++summary.minions_unusable;
       continue;
     }
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -109,7 +109,7 @@
   }
   minion_view& view = minion.fleet->MutableMinion(minion.view_index);
   view.free = minion.report.capacity - minion.used;
-  view.is_usable = HealthOf(now, minion) == "usable";
+  view.is_usable = HealthOf(now, minion) == kUsable;
   view.is_on_probation = minion.trust.IsOnProbation() ||
                          minion.report.cold_remaining > duration(0);
 }
--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -147,6 +147,48 @@
   CHECK(fleet.starts["a"] == 8);
 }
 
+// Guards against lasting tasks that pause for many seconds, because their own
+// failures bring every minion under avoidance.
+TEST_CASE("Lasting tasks that fail often run on") {
+  fake_fleet::options options;
+  options.minions = 6;
+  fake_fleet fleet(options);
+  constexpr int kTasks = 12;
+  for (const char* id : {"a", "b"}) {
+    accepted_job job = OneStep(id, 1, kTasks, kSmall, 60s);
+    job.spec.steps[0].is_persistent = true;
+    fleet.Submit(job);
+  }
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == kTasks);
+  std::map<std::string, duration> longest_pause;
+  std::map<std::string, duration> pause;
+  for (int step = 0; step < 200; ++step) {
+    if (step % 5 == 0) {
+      fleet.FailRuns("a");
+      fleet.FailRuns("b");
+    }
+    fleet.Run(100ms);
+    for (const char* id : {"a", "b"}) {
+      pause[id] = fleet.CountRunning(id) > 0 ? 0ms : pause[id] + 100ms;
+      longest_pause[id] = std::max(longest_pause[id], pause[id]);
+    }
+  }
+  CHECK(longest_pause["a"] <= 4s);
+  CHECK(longest_pause["b"] <= 4s);
+
+  SECTION("while other jobs keep off the avoided minions") {
+    fleet.Submit(OneStep("c", 1, 1, kSmall, 200ms));
+    const auto health = fleet.core->Minions();
+    const bool are_all_avoided = std::all_of(
+        health.begin(), health.end(),
+        [](const auto& minion) { return minion.health == "avoided"; });
+    REQUIRE(are_all_avoided);
+    fleet.Run(50ms);
+    CHECK(fleet.starts["c"] == 0);
+  }
+}
+
 TEST_CASE("Fillers are slowed down to protect a serving task") {
   fake_fleet::options options;
   options.minions = 1;
