Place tasks only by the entry of a minion's present incarnation

Cause: an answer to a poll tells of a restart at once, the list of minions up to 0.6 s later.

Change: after a poll has told of a new incarnation, the minion counts as not listed until an entry of that incarnation is read.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -187,6 +187,9 @@
   }
   if (answer.incarnation_unix_ms > minion->report.incarnation_unix_ms) {
     BeginIncarnation(now, *minion, answer.incarnation_unix_ms);
+    // It may have another capacity and other labels than its entry says, until
+    // its own entry is read.
+    minion->is_listed = false;
   }
   if (!minion->is_responsive || !minion->has_answered) {
     should_place_ = true;
--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -120,6 +120,35 @@
   }
 }
 
+// Guards against starts that exceed a minion, because it is of another kind
+// than its former incarnation, whose entry is still in the list.
+TEST_CASE("A minion restarts as another kind under the same id") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  fleet.Submit(OneStep("before", 1, 1, kSmall, 60s));
+  fleet.Run(510ms);  // The list was read a moment ago.
+  REQUIRE(fleet.CountRunning("before") == 1);
+  fake_minion& minion = fleet.minions.begin()->second;
+  minion.report.capacity.accelerators = 2;
+  minion.report.labels = {"b", minion.report.rack};
+  fleet.RestartMinion(minion.report.id);
+
+  SECTION("it is given no more than it holds") {
+    fleet.Submit(OneStep("after", 1, 8, kSmall, 300ms));
+    fleet.Run(1500ms);
+    CHECK(fleet.starts["after"] > 0);
+    CheckNoViolations(fleet);
+  }
+  SECTION("it is given no task that needs a label it had") {
+    accepted_job job = OneStep("labelled", 1, 1, kSmall, 300ms);
+    job.spec.steps[0].required_label = "a";
+    fleet.Submit(job);
+    fleet.Run(1500ms);
+    CHECK(fleet.starts["labelled"] == 0);
+  }
+}
+
 // Guards against lasting tasks that are stopped for good, because the next
 // owner is told again of an end that the former one has handled.
 TEST_CASE("A persistent step outlives the owner that restarted its tasks") {
