Restore the speed of fillers whose pace has lost its reason

Cause: fillers were paced only beside serving tasks, and a new owner took inherited ones as running at full speed. A pace stayed in force for good after the last serving task had left, or after a change of owner (seen in the code by the review; no rule).

Change: the pace of an inherited member is unknown; beside serving tasks it begins at 25% and is raised as usual, without any it is full speed at once.

Evidence: three new sections failed before, the filler stayed at 12%.

--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -13,6 +13,10 @@
 // Interval at which ended jobs are removed from the open jobs. Only summaries
 // iterate over these.
 constexpr duration kJobCleanupInterval = std::chrono::milliseconds(500);
+// Speed limit of inherited fillers beside serving tasks. The limit that the
+// former owner set is not known; full speed could harm the serving tasks, and a
+// low limit is raised within seconds.
+constexpr int kInheritedFillerPercent = 25;
 
 }  // namespace
 
@@ -196,8 +200,12 @@
     member.index = placed.index;
     member.incarnation = {placed.minion, placed.incarnation_unix_ms, ""};
     member.phase = member_phase::kInherited;
+    member.pace_percent.reset();
     unit.members.push_back(member);
     minion_entry& minion = MinionOf(placed.minion);
+    if (entry.accepted.spec.steps.at(unit.step).is_filler) {
+      minion.filler_percent = kInheritedFillerPercent;
+    }
     if (minion.report.incarnation_unix_ms == 0) {
       minion.report.incarnation_unix_ms = placed.incarnation_unix_ms;
     }
--- a/src/sched/work_pacing.cc
+++ b/src/sched/work_pacing.cc
@@ -24,7 +24,7 @@
 }  // namespace
 
 // Slows fillers down at once if a serving task approaches its target for tail
-// latency, and restores their speed gradually.
+// latency, and restores their speed gradually; at once if no task serves.
 void work_core::impl::PaceFillers(instant now, minion_entry& minion) {
   double worst_tail_ratio = 0;
   bool has_sample = false;
@@ -42,7 +42,9 @@
     }
   }
   int percent = minion.filler_percent;
-  if (has_sample && worst_tail_ratio > kSlowDownShare) {
+  if (minion.counts.serving == 0) {
+    percent = kWholePercent;
+  } else if (has_sample && worst_tail_ratio > kSlowDownShare) {
     percent = percent / 2 < kMinPercent ? 0 : percent / 2;
   } else if (has_sample && worst_tail_ratio < kSpeedUpShare) {
     percent = std::min(kWholePercent, percent + kPercentIncrease);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -46,7 +47,9 @@
   instant load_at;               ///< Time at which `load` was reported.
   int speed_sample_percent = 0;  ///< `percent` at `speed_sample_at`.
   instant speed_sample_at;       ///< Start of the current speed sample.
-  int pace_percent = 100;        ///< Speed limit that the minion confirmed.
+  /// Speed limit that the minion confirmed to this owner. That of an inherited
+  /// member is not known.
+  std::optional<int> pace_percent = 100;
   bool is_pace_in_flight = false;
   instant progressed_at;  ///< Time of the last change of `percent`.
 };
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -50,7 +50,7 @@
 void work_core::impl::FinishDirtyMinions(instant now) {
   for (std::size_t next = 0; next < dirty_minions_.size();) {
     minion_entry& minion = *dirty_minions_[next++];
-    if (minion.HasServingAndFillers()) {
+    if (minion.counts.fillers > 0) {
       PaceFillers(now, minion);
     }
     EmitPolls(now, minion);
--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -260,6 +260,32 @@
       fleet.Run(15s);
       CHECK(pace() == 100);
     }
+    SECTION("its speed is restored when the serving task has left") {
+      fleet.Cancel("serve");
+      fleet.Run(2s);
+      REQUIRE(fleet.CountRunning("serve") == 0);
+      CHECK(pace() == 100);
+    }
+    SECTION("the next owner restores its speed once it does no harm") {
+      fleet.ReplaceOwner();
+      tail_ms_per_percent = 0;
+      fleet.Run(15s);
+      CHECK(pace() == 100);
+    }
+    SECTION("the next owner restores its speed if the serving task has left") {
+      fleet.Cancel("serve");
+      fleet.ReplaceOwner();
+      fleet.Run(3s);
+      REQUIRE(fleet.CountRunning("serve") == 0);
+      CHECK(pace() == 100);
+    }
+    SECTION("the next owner does no harm") {
+      fleet.ReplaceOwner();
+      for (int step = 0; step < 50; ++step) {
+        fleet.Run(100ms);
+        CHECK(40 + tail_ms_per_percent * pace() < 100);
+      }
+    }
   }
   SECTION("a filler reserves no cores") {
     fleet.Run(1s);
