Play lasting tasks and upkeep waves under random faults

Change: sixteen seeds of lasting tasks that end, with changes of owner, cuts, restarts, lost and late orders and a store that is down; forty seeds of a wave with held and lost orders, records that are not stored and changes of owner, against a platform that checks fences by machine.

--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -1,4 +1,10 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
+#include <map>
+#include <random>
+#include <string>
+#include <vector>
 
 #include "tests/fleet_checks.h"
 
@@ -176,6 +182,70 @@
   CHECK(fleet.starts["a"] == 8);
 }
 
+TEST_CASE("Under random faults lasting tasks are started again and stopped") {
+  const int seed = GENERATE(range(1, 17));
+  INFO("seed " << seed);
+  fake_fleet::options options;
+  options.seed = static_cast<std::uint64_t>(seed);
+  options.lost_answer_rate = 0.1;
+  options.late_order_rate = seed % 3 == 0 ? 0.1 : 0.0;
+  options.unknown_commit_rate = 0.1;
+  options.refuses_orders_to_earlier_incarnations = seed % 2 == 0;
+  fake_fleet fleet(options);
+  std::mt19937_64 random(options.seed * 7919);
+  const auto chance = [&] {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+  };
+  const auto any_minion = [&]() -> fake_minion& {
+    auto it = fleet.minions.begin();
+    std::advance(it, static_cast<long>(chance() * fleet.minions.size()));
+    return it->second;
+  };
+  constexpr int kTasks = 5;
+  const std::vector<std::string> jobs = {"a", "b", "c", "d"};
+  for (const std::string& id : jobs) {
+    accepted_job job = OneStep(id, 1, kTasks, kSmall, 60s);
+    job.spec.steps[0].is_persistent = true;
+    fleet.Submit(job);
+  }
+  for (int step = 0; step < 60; ++step) {
+    const std::string& ending = jobs[step % jobs.size()];
+    if (chance() < 0.5) {
+      fleet.EndRuns(ending, chance() < 0.5 ? run_end::kDone : run_end::kFailed);
+    }
+    if (chance() < 0.1) {
+      fleet.ReplaceOwner();
+    }
+    if (chance() < 0.15) {
+      fake_minion& minion = any_minion();
+      minion.is_partitioned = !minion.is_partitioned;
+    }
+    if (chance() < 0.05) {
+      fleet.RestartMinion(any_minion().report.id);
+    }
+    fleet.table.is_down = chance() < 0.1;
+    fleet.Run(400ms);
+  }
+  fleet.table.is_down = false;
+  for (auto& [id, minion] : fleet.minions) {
+    minion.is_partitioned = false;
+  }
+  fleet.Run(25s);
+  for (const std::string& id : jobs) {
+    INFO("job " << id);
+    CHECK(fleet.StateOf(id) == job_state::kRunning);
+    CHECK(fleet.CountRunning(id) == kTasks);
+    fleet.Cancel(id);
+  }
+  fleet.ReplaceOwner();
+  fleet.Run(20s);
+  for (const std::string& id : jobs) {
+    INFO("job " << id);
+    CHECK(fleet.StateOf(id) == job_state::kCancelled);
+    CHECK(fleet.CountRunning(id) == 0);
+  }
+}
+
 // Guards against lasting tasks that pause for many seconds, because their own
 // failures bring every minion under avoidance.
 TEST_CASE("Lasting tasks that fail often run on") {
--- a/tests/upkeep_test.cc
+++ b/tests/upkeep_test.cc
@@ -2,7 +2,10 @@
 #include <catch2/catch.hpp>
 #include <map>
 #include <memory>
+#include <random>
 #include <set>
+#include <string>
+#include <utility>
 #include <vector>
 
 #include "sassafras/sched/upkeep_codec.h"
@@ -109,7 +112,13 @@
         are_answers_lost ? upkeep_outcome::kUnknown : upkeep_outcome::kBegun);
   }
 
+  // The platform refuses an order whose fence is lower than that of an earlier
+  // one for the same machine.
   void Execute(const upkeep_order& order) {
+    if (order.fence < fences[order.machine]) {
+      return;
+    }
+    fences[order.machine] = order.fence;
     machine_row& row = rows.at(order.machine);
     if (row.state == machine_state::kUp && row.minion.starts_with("old-")) {
       row.state = machine_state::kUpkeep;
@@ -133,6 +142,7 @@
   std::map<std::int64_t, std::string> record_rows;
   std::map<std::string, machine_row> rows;
   std::map<std::string, instant> up_again_at;
+  std::map<std::string, std::uint64_t> fences;  // Highest seen, by machine.
   std::set<std::string> cordoned;
   std::set<std::string> was_cordoned;  // In this tenure.
   std::set<std::string> busy;
@@ -320,6 +330,45 @@
   }
 }
 
+TEST_CASE("Under random faults a wave keeps its limit and ends") {
+  const int seed = GENERATE(range(1, 41));
+  INFO("seed " << seed);
+  std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+  const auto chance = [&] {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+  };
+  upkeep_world world;
+  const int limit = 1 + seed % 2;
+  world.Wave(limit, 120s);
+  for (int step = 0; step < 60; ++step) {
+    world.are_orders_held = chance() < 0.2;
+    world.are_answers_lost = chance() < 0.3;
+    world.is_store_down = chance() < 0.2;
+    if (chance() < 0.2) {
+      world.DeliverHeldOrders();
+    }
+    if (chance() < 0.15) {
+      world.ReplaceOwner();
+    }
+    if (chance() < 0.3) {
+      world.busy.insert("old-m" + std::to_string(step % 4));
+    } else {
+      world.busy.clear();
+    }
+    world.Run(400ms);
+  }
+  world.are_orders_held = false;
+  world.are_answers_lost = false;
+  world.is_store_down = false;
+  world.busy.clear();
+  world.Run(40s);
+  CHECK(world.started == 4);
+  CHECK(world.max_down <= limit);
+  CHECK(world.is_complete);
+  CHECK(world.cordoned.empty());
+  CHECK_FALSE(world.is_list_needed);
+}
+
 TEST_CASE("Wave record survives its encoding") {
   const wave_record record{
       7, true, {{"m0", "old-m0", true}, {"m1", "", false}}};
