--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -198,7 +198,8 @@
   };
   const auto any_minion = [&]() -> fake_minion& {
     auto it = fleet.minions.begin();
-    std::advance(it, static_cast<long>(chance() * fleet.minions.size()));
+    std::advance(it, static_cast<long>(
+                         chance() * static_cast<double>(fleet.minions.size())));
     return it->second;
   };
   constexpr int kTasks = 5;
