Submit a sound job in the tests of acceptance

Cause: the job of these tests had a step without tasks, which no caller can submit.

Change: the step has one task. All checks stay as they were.

Result: acceptance_test passes.

--- a/tests/acceptance_test.cc
+++ b/tests/acceptance_test.cc
@@ -27,6 +27,7 @@
   accepted_job job;
   job.id = kId;
   job.spec.steps.resize(1);
+  job.spec.steps[0].count = 1;
   return job;
 }
 
