Log how far a run had come when its minion was lost

Cause: of the hypotheses on deadly tasks, none could be told from another by the log: a run that is over without a listed end showed neither its age nor whether its minion ever listed it, a new incarnation not its address.

Change: member_over has the number of starts sent and the times since the run was confirmed and listed, minion_life has the address, and each cause of a lost member has a counter. No decision changes.

Evidence: 672 assertions of sched_core_test and 424 of sched_minions_test pass.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -111,8 +111,9 @@
 void work_core::impl::BeginIncarnation(instant now,
                                        minion_entry& minion,
                                        std::int64_t incarnation) {
-  LogEvent("minion_life", "", "", minion.report.id,
-           "born " + std::to_string(incarnation));
+  LogEvent(
+      "minion_life", "", "", minion.report.id,
+      "born " + std::to_string(incarnation) + " at " + minion.report.address);
   minion.report.incarnation_unix_ms = incarnation;
   minion.has_answered = false;
   minion.is_responsive = false;
@@ -273,6 +274,7 @@
       ConfirmMember(now, ref);
     }
     ref.member->was_listed = true;
+    ref.member->listed_at = now;
     ref.member->load = run.load;
     ref.member->load_at = now;
     if (ref.member->percent != run.progress_percent) {
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -48,6 +48,21 @@
   return text;
 }
 
+// Formats how far the member's run is known to have come, for the log.
+std::string DescribeMember(instant now, const unit_member& member) {
+  const auto milliseconds_since = [now](instant at) {
+    return std::to_string((now - at).count() / 1000);
+  };
+  std::string text = " starts_sent " + std::to_string(member.starts_sent);
+  if (member.confirmed_at != instant()) {
+    text += " confirmed_ms_ago " + milliseconds_since(member.confirmed_at);
+  }
+  if (member.was_listed) {
+    text += " listed_ms_ago " + milliseconds_since(member.listed_at);
+  }
+  return text;
+}
+
 // Keeps the newer of two checkpoints of one unit. The platform's checkpoints
 // begin with the amount of work in fixed width, so that they compare as
 // strings. Either is valid to resume from.
@@ -371,9 +386,11 @@
                                              close_cause cause,
                                              std::string_view detail) {
   counters_.Add("sched_members_lost");
+  counters_.Add("sched_members_lost_" + std::string(GetInfo(cause).name));
   LogEvent("member_over", ref.job->accepted.id,
            FormatRun(KeyOf(*ref.job, *ref.unit, *ref.member)),
-           ref.member->incarnation.id, Describe(cause, detail));
+           ref.member->incarnation.id,
+           Describe(cause, detail) + DescribeMember(now, *ref.member));
   ReleaseMember(*ref.job, *ref.unit, *ref.member);
   CloseRun(now, *ref.job, *ref.unit, cause, detail);
 }
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -40,6 +40,7 @@
   instant next_send;        ///< Earliest time of the next start or stop.
   instant confirmed_at;     ///< Time of the confirmation, if kRunning.
   bool was_listed = false;  ///< Listed as running by the `incarnation`.
+  instant listed_at;        ///< When it was last listed, if it was.
   bool is_stop_acknowledged = false;
   instant stop_acknowledged_at;  ///< Time of the last answer to a stop.
   int percent = 0;               ///< Progress in the last answered poll.
