Reproduce crashing tasks and shrinking capacity in tests that fail

The stand-in minions of the tests can now crash, by themselves or by a task that they start, return under another id or the same, and change their capacity.

--- /dev/null
+++ b/tests/crash_test.cc
@@ -0,0 +1,224 @@
+#include <catch2/catch.hpp>
+#include <map>
+#include <random>
+#include <string>
+
+#include "tests/fleet_checks.h"
+
+namespace sassafras::sched {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Makes each task of `job` crash the minions that start it.
+void MakeDeadly(fake_fleet& fleet, const std::string& job) {
+  fleet.crashes_minions = [job](const task_key& task) {
+    return task.job == job;
+  };
+}
+
+int MostCrashes(const fake_fleet& fleet) {
+  int most = 0;
+  for (const auto& [task, count] : fleet.crashes) {
+    most = std::max(most, count);
+  }
+  return most;
+}
+
+// Guards against a task that is started on one minion after the other without
+// end and crashes each of them.
+TEST_CASE("A task that crashes the minions that start it is given up") {
+  fake_fleet fleet({});
+  fleet.keeps_id_after_crash = GENERATE(false, true);
+  fleet.crash_delay = GENERATE(10ms, 3s);
+  MakeDeadly(fleet, "deadly");
+  accepted_job job = OneStep("deadly", 1, 1, kSmall, 5s);
+
+  SECTION("and its job is shown as failed") {
+    fleet.Submit(job);
+    CHECK(fleet.RunUntilEnded(60s));
+    CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+    CHECK(fleet.crash_count <= 5);
+    CHECK(fleet.core->Explain("deadly").find("crash") != std::string::npos);
+
+    SECTION("by the next owner too, which starts nothing of it") {
+      const int crashes = fleet.crash_count;
+      fleet.Run(1s);
+      fleet.ReplaceOwner();
+      fleet.Run(20s);
+      CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+      CHECK(fleet.crash_count == crashes);
+    }
+  }
+  SECTION("though the owner is replaced after each crash") {
+    fleet.Submit(job);
+    for (int crash = 1; crash <= 6; ++crash) {
+      for (int i = 0; i < 3000 && fleet.crash_count < crash; ++i) {
+        fleet.Run(5ms);
+      }
+      fleet.ReplaceOwner();
+    }
+    CHECK(fleet.RunUntilEnded(60s));
+    CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  }
+  SECTION("if all tasks of its job do so") {
+    job.spec.steps[0].count = 12;
+    job.spec.steps.push_back(job.spec.steps[0]);
+    job.spec.steps[1].after = {0};
+    fleet.Submit(job);
+    CHECK(fleet.RunUntilEnded(90s));
+    CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  }
+  SECTION("if it belongs to a gang") {
+    fleet.Submit(Gang("deadly", 0, 3));
+    CHECK(fleet.RunUntilEnded(90s));
+    CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  }
+  SECTION("if it lasts") {
+    job.spec.steps[0].is_persistent = true;
+    fleet.Submit(job);
+    fleet.Run(90s);
+    CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  }
+  CHECK(MostCrashes(fleet) <= 5);
+  CheckNoViolations(fleet);
+}
+
+// Guards against neighbours of a crash that wait until the lease of the
+// crashed minion has run out, though its machine is back.
+TEST_CASE("Neighbours of a crash run again once the machine is back") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  fleet.Submit(OneStep("sound", 1, 2, kSmall, 20s));
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("sound") == 2);
+  const std::string id = fleet.minions.begin()->first;
+  fleet.CrashMinion(id);
+
+  SECTION("for the owner that saw the crash") {
+    fleet.Run(2500ms);
+    CHECK(fleet.starts["sound"] == 2);
+    fleet.Run(2s);
+    CHECK(fleet.starts["sound"] == 4);
+  }
+  SECTION("for the next owner, which has never met the crashed minion") {
+    fleet.Run(2900ms);
+    fleet.ReplaceOwner();
+    fleet.Run(1600ms);
+    CHECK(fleet.starts["sound"] == 4);
+  }
+  CheckNoViolations(fleet);
+}
+
+// Guards against sound tasks that are lost or given up with a deadly one,
+// because it is started beside them again and again.
+TEST_CASE("A crash costs the sound tasks beside it one run") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("sound", 1, 24, kSmall, 8s));
+  MakeDeadly(fleet, "deadly");
+
+  SECTION("if the deadly task comes later") {
+    fleet.Run(4s);
+    fleet.Submit(OneStep("deadly", 1, 1, kSmall, 5s));
+    fleet.Run(40s);
+    CHECK(fleet.starts["sound"] <= 24 + 8);
+  }
+  SECTION("if all start together, so that all are suspects") {
+    fleet.Submit(OneStep("deadly", 1, 4, kSmall, 5s));
+    fleet.Run(60s);
+    CHECK(fleet.starts["sound"] <= 24 + 24);
+  }
+  CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  CHECK(fleet.StateOf("sound") == job_state::kComplete);
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("Only crashes count against a task") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  fleet.Run(1s);
+  const auto holder = [&]() -> fake_minion* {
+    for (auto& [id, minion] : fleet.minions) {
+      if (!minion.running.empty() && !minion.is_partitioned) {
+        return &minion;
+      }
+    }
+    return nullptr;
+  };
+  SECTION("not leases that lapse behind a partition") {
+    for (int i = 0; i < 6; ++i) {
+      REQUIRE(holder() != nullptr);
+      fake_minion& cut = *holder();
+      cut.is_partitioned = true;
+      fleet.Run(9s);
+      cut.is_partitioned = false;
+      fleet.Run(1s);
+    }
+  }
+  SECTION("not minions that drain and leave") {
+    for (int i = 0; i < 6; ++i) {
+      REQUIRE(holder() != nullptr);
+      fake_minion& leaving = *holder();
+      leaving.report.is_draining = true;
+      leaving.report.drain_remaining = 300ms;
+      fleet.Run(600ms);
+      fleet.CrashMinion(leaving.report.id);
+      fleet.minions.at(leaving.report.id).report.is_draining = false;
+      fleet.Run(4s);
+    }
+  }
+  CHECK(fleet.StateOf("a") == job_state::kRunning);
+  CHECK(fleet.CountRunning("a") == 1);
+  CHECK(fleet.counters.Get("sched_crashes") == 0);
+  CheckNoViolations(fleet);
+}
+
+// Guards against starts that exceed a minion, because its capacity has shrunk
+// since they were placed.
+TEST_CASE("Nothing is started on a minion whose capacity has shrunk") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  const std::string id = fleet.minions.begin()->first;
+  const resource_amounts whole = fleet.minions.begin()->second.report.capacity;
+  const resource_amounts half{64'000, 131'072, 4};
+
+  SECTION("though it was chosen before") {
+    fleet.Run(1s);
+    fleet.table.is_down = true;
+    fleet.Submit(OneStep("a", 1, 8, kSmall, 2s));
+    fleet.Run(100ms);
+    fleet.SetCapacity(id, half);
+    fleet.Run(6s);
+    fleet.table.is_down = false;
+    fleet.Run(4s);
+    CHECK(fleet.starts["a"] > 0);
+  }
+  SECTION("though only what is being stopped exceeds it") {
+    fleet.Submit(OneStep("a", 1, 8, kSmall, 60s));
+    fleet.Run(1s);
+    REQUIRE(fleet.CountRunning("a") == 8);
+    fleet.SetCapacity(id, half);
+    fleet.Run(5s);
+    fleet.Submit(OneStep("b", 0, 4, kSmall, 1s));
+    fleet.Run(3s);
+    CHECK(fleet.starts["b"] == 4);
+  }
+  SECTION("and what runs there runs on") {
+    fleet.Submit(OneStep("a", 1, 8, kSmall, 10s));
+    fleet.Run(1s);
+    fleet.SetCapacity(id, half);
+    fleet.Submit(OneStep("b", 1, 8, kSmall, 1s));
+    fleet.Run(8s);
+    CHECK(fleet.CountRunning("a") == 8);
+    CHECK(fleet.starts["b"] == 0);
+    fleet.SetCapacity(id, whole);
+    REQUIRE(fleet.RunUntilEnded(6s));
+    CHECK(fleet.starts["a"] == 8);
+  }
+  CheckNoViolations(fleet);
+}
+
+}  // namespace
+}  // namespace sassafras::sched
--- a/tests/fake_minion.h
+++ b/tests/fake_minion.h
@@ -37,7 +37,9 @@
   std::map<task_key, std::int64_t> highest_ended_run;
   std::vector<listed_end> ended;
   std::int64_t end_count = 0;
-  std::map<run_key, int> paces;  ///< Speed limits in percent.
+  std::map<run_key, int> paces;      ///< Speed limits in percent.
+  resource_amounts capacity_before;  ///< Before it shrank at `shrunk_at`.
+  instant shrunk_at;                 ///< Never, if it has the default value.
 
   std::int64_t Clock(instant now) const {
     return (now - clock_origin).count() / 1000;
