End the runs of a crashed minion once its machine is back

Cause: a machine that has crashed comes back under another id, so that nothing showed that its former life was over before the longest lease had run out.

Change: once an incarnation answers a poll, each silent minion of an earlier incarnation at the same address is over, and its runs with it. The record names the address of each member, so that the next owner can tell as well; a record names at most 500 tasks in progress in place of 600, to fit into its row.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -61,6 +61,7 @@
   int index = 0;  ///< Index of the task in its step.
   std::string minion;
   std::int64_t incarnation_unix_ms = 0;  ///< Start time; names the incarnation.
+  std::string address;  ///< "IP:port"; empty in rows of earlier builds.
 };
 
 /// Progress of a unit: a whole gang, or one task of a step that is not a gang.
@@ -85,8 +86,8 @@
 };
 
 /// Limit of tasks of one job that have started and are not done. The record of
-/// each takes up to 100 bytes, and a row of the store holds at most 64 KB.
-inline constexpr int kMaxTasksInProgress = 600;
+/// each takes up to 120 bytes, and a row of the store holds at most 64 KB.
+inline constexpr int kMaxTasksInProgress = 500;
 
 /// Encodes the number of waiting jobs by queue as JSON.
 std::string EncodeWaitingCounts(const std::map<std::string, int>& waiting);
--- a/src/sched/close_cause.h
+++ b/src/sched/close_cause.h
@@ -20,7 +20,7 @@
   kClaimExpired,    ///< Runs evicted for it did not end in time.
   kDraining,        ///< Its minion drains.
   kUpkeep,          ///< Its minion's upkeep is due.
-  kRestarted,       ///< Its minion restarted.
+  kRestarted,       ///< Its minion restarted, under its id or another.
   kNotListed,       ///< Its minion no longer lists it.
   kLeaseExpired,    ///< Its minion is silent and its lease expired.
   kStalled,         ///< It made no progress.
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -11,6 +11,8 @@
 constexpr int kRowFormat = 1;
 // Optional element of a recorded unit; rows of earlier builds end before it.
 constexpr std::size_t kRunFailedIndex = 8;
+// Optional element of a recorded member.
+constexpr std::size_t kAddressIndex = 3;
 constexpr std::string_view kCancelSuffix = ".cancel";
 // kJobTable without the slash; parts are named after it.
 constexpr std::string_view kJobTableName = "jobs";
@@ -84,7 +86,8 @@
   json members = json::array();
   for (const recorded_member& member : unit.members) {
     members.push_back(
-        json::array({member.index, member.minion, member.incarnation_unix_ms}));
+        json::array({member.index, member.minion, member.incarnation_unix_ms,
+                     member.address}));
   }
   json document = json::array({unit.occurrence, unit.step, unit.index, unit.run,
                                unit.failed_runs, unit.is_done, unit.checkpoint,
@@ -105,7 +108,10 @@
   unit.is_done = document.at(5);
   unit.checkpoint = document.at(6);
   for (const json& member : document.at(7)) {
-    unit.members.push_back({member.at(0), member.at(1), member.at(2)});
+    unit.members.push_back({member.at(0), member.at(1), member.at(2),
+                            member.size() > kAddressIndex
+                                ? member.at(kAddressIndex).get<std::string>()
+                                : std::string()});
   }
   unit.has_run_failed =
       document.size() > kRunFailedIndex && document.at(kRunFailedIndex);
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -198,7 +198,8 @@
   for (const recorded_member& placed : recorded.members) {
     unit_member member;
     member.index = placed.index;
-    member.incarnation = {placed.minion, placed.incarnation_unix_ms, ""};
+    member.incarnation = {placed.minion, placed.incarnation_unix_ms,
+                          placed.address};
     member.phase = member_phase::kInherited;
     member.pace_percent.reset();
     unit.members.push_back(member);
@@ -208,6 +209,7 @@
     }
     if (minion.report.incarnation_unix_ms == 0) {
       minion.report.incarnation_unix_ms = placed.incarnation_unix_ms;
+      minion.report.address = placed.address;
     }
     minion.last_lease_grant =
         std::max(minion.last_lease_grant, tenure_began_at_);
@@ -422,6 +424,7 @@
 
 work_actions work_core::Decide(instant now, std::int64_t wall_unix_ms) {
   impl_->RemoveSettledFromOpenJobs(now);
+  impl_->EndSucceededLives(now);
   impl_->PrepareDirtyMinions(now);
   impl_->CheckProgress(now);
   impl_->PlaceAll(now, wall_unix_ms);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -60,6 +60,9 @@
                         const poll_answer& answer);
   std::vector<minion_status> Minions() const;
 
+  // work_crashes.cc
+  void EndSucceededLives(instant now);
+
   // work_wakeups.cc
   void PrepareDirtyMinions(instant now);
   void FinishDirtyMinions(instant now);
@@ -213,6 +216,9 @@
                    std::string_view reason,
                    duration base_pause = std::chrono::seconds(2));
 
+  // work_crashes.cc
+  void EndLife(instant now, minion_entry& minion);
+
   // work_placing.cc
   bool CanSpreadOverRacks(instant now, const unit_ref& waiting) const;
   bool IsAtLeastAsHardToPlace(instant now,
@@ -391,6 +397,9 @@
   std::map<step_key, step_advice> advice_;
   bool is_advice_in_flight_ = false;
   bool should_place_ = true;
+  // A minion may have answered since lives were last compared by address.
+  bool has_new_answers_ = false;
+  instant next_life_check_;
   instant minion_list_read_at_;
   instant next_placement_;        // If no event occurs.
   instant placement_not_before_;  // Regardless of events.
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -79,6 +79,7 @@
       }
     }
   }
+  has_new_answers_ = true;
   RemoveDepartedMinions();
   RebuildViews(now);
   minion_list_read_at_ = now;
@@ -194,6 +195,7 @@
   }
   if (!minion->is_responsive || !minion->has_answered) {
     should_place_ = true;
+    has_new_answers_ = true;
     LogEvent("minion_answers", "", "", order.minion.id, "");
   }
   minion->has_answered = true;
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -31,7 +31,8 @@
     for (const unit_member& member : unit.members) {
       if (member.phase != member_phase::kTerminated) {
         recorded.members.push_back({member.index, member.incarnation.id,
-                                    member.incarnation.incarnation_unix_ms});
+                                    member.incarnation.incarnation_unix_ms,
+                                    member.incarnation.address});
       }
     }
     record.units.push_back(std::move(recorded));
--- /dev/null
+++ b/tests/job_record_test.cc
@@ -0,0 +1,48 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "sassafras/sched/job_codec.h"
+
+namespace sassafras::sched {
+namespace {
+
+// Rows of the store hold at most this number of bytes.
+constexpr std::size_t kMaxRowBytes = 65'536;
+
+TEST_CASE("The record of a job keeps what the next owner needs") {
+  job_record record;
+  record.state = job_state::kRunning;
+  recorded_unit unit{1, 2, 3, 4, 1, false, "00000bb87a21d94b", {}, true};
+  unit.members.push_back({3, "i-25a72096d5", 1'787'689'055'116, "10.0.0.1:80"});
+  record.units.push_back(unit);
+
+  SECTION("the address of each member's minion") {
+    const auto decoded = DecodeRecord(EncodeRecord(record));
+    REQUIRE(decoded);
+    const recorded_unit& restored = decoded.value().units.at(0);
+    CHECK(restored.members.at(0).minion == "i-25a72096d5");
+    CHECK(restored.members.at(0).address == "10.0.0.1:80");
+    CHECK(restored.has_run_failed);
+  }
+  SECTION("and rows of earlier builds have no addresses") {
+    const auto decoded =
+        DecodeRecord(R"({"format":1,"state":1,"done":[],)"
+                     R"("units":[[0,0,0,1,0,false,"",[[0,"m",1000]]]]})");
+    REQUIRE(decoded);
+    CHECK(decoded.value().units.at(0).members.at(0).address.empty());
+  }
+  SECTION("in one row, however many tasks are in progress") {
+    record.units.clear();
+    for (int index = 0; index < kMaxTasksInProgress; ++index) {
+      recorded_unit wide{9999, 999, 9999, 99'999, 9, false, "00000bb87a21d94b",
+                         {},   true};
+      wide.members.push_back(
+          {9999, "i-25a72096d5", 1'787'689'055'116, "255.255.255.255:65535"});
+      record.units.push_back(wide);
+    }
+    CHECK(EncodeRecord(record).size() <= kMaxRowBytes);
+  }
+}
+
+}  // namespace
+}  // namespace sassafras::sched
