Give a task up after the crashes of the minions that started it

Cause: a run that is lost with its minion counted against nothing. Failures that a minion lists use up attempts; a minion that crashes lists nothing.

Change: when a later incarnation shows that a minion has crashed, each run that may have been started there counts the crash, once a run, in the record that names the minions of the next run. The runs that had been started last are the suspects. A unit is given up after three crashes if it was the sole suspect of two, after five in any case. Minions that drain, await upkeep or are cut off have not crashed. Crashes are forgotten after ten minutes at work.

A section of the new case had a gang that ended before its crash; it runs longer now.

--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -9,8 +9,11 @@
 using nlohmann::json;
 
 constexpr int kRowFormat = 1;
-// Optional element of a recorded unit; rows of earlier builds end before it.
+// Optional elements of a recorded unit; rows of earlier builds end before them.
 constexpr std::size_t kRunFailedIndex = 8;
+constexpr std::size_t kCrashedRunsIndex = 9;
+constexpr std::size_t kBlamedRunsIndex = 10;
+constexpr std::size_t kRunCrashedIndex = 11;
 // Optional element of a recorded member.
 constexpr std::size_t kAddressIndex = 3;
 constexpr std::string_view kCancelSuffix = ".cancel";
@@ -92,8 +95,13 @@
   json document = json::array({unit.occurrence, unit.step, unit.index, unit.run,
                                unit.failed_runs, unit.is_done, unit.checkpoint,
                                std::move(members)});
-  if (unit.has_run_failed) {
-    document.push_back(true);
+  if (unit.has_run_failed || unit.crashed_runs > 0) {
+    document.push_back(unit.has_run_failed);
+  }
+  if (unit.crashed_runs > 0) {
+    document.push_back(unit.crashed_runs);
+    document.push_back(unit.blamed_runs);
+    document.push_back(unit.has_run_crashed);
   }
   return document;
 }
@@ -115,6 +123,11 @@
   }
   unit.has_run_failed =
       document.size() > kRunFailedIndex && document.at(kRunFailedIndex);
+  if (document.size() > kRunCrashedIndex) {
+    unit.crashed_runs = document.at(kCrashedRunsIndex);
+    unit.blamed_runs = document.at(kBlamedRunsIndex);
+    unit.has_run_crashed = document.at(kRunCrashedIndex);
+  }
   return unit;
 }
 
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -177,6 +177,9 @@
     it->run = recorded.run;
     it->failed_runs = recorded.failed_runs;
     it->has_run_failed = recorded.has_run_failed;
+    it->crashed_runs = recorded.crashed_runs;
+    it->blamed_runs = recorded.blamed_runs;
+    it->has_run_crashed = recorded.has_run_crashed;
     if (recorded.is_done) {
       entry.SetDone(*it);
     }
@@ -257,11 +260,13 @@
   int waiting = 0;
   int running = 0;
   int done = 0;
+  int crashes = 0;
   std::string minion_ids;
   for (const work_unit& unit : job.units) {
     waiting += unit.phase == unit_phase::kWaiting ? 1 : 0;
     done += unit.is_done ? 1 : 0;
     running += unit.phase == unit_phase::kActive ? 1 : 0;
+    crashes = std::max(crashes, unit.crashed_runs);
     for (const unit_member& member : unit.members) {
       if (member.phase != member_phase::kTerminated &&
           minion_ids.size() < 200) {
@@ -275,6 +280,9 @@
          std::to_string(waiting) + " wait for room" +
          (minion_ids.empty() ? std::string()
                              : "; it holds room on" + minion_ids) +
+         (crashes == 0 ? std::string()
+                       : "; minions crashed under " + std::to_string(crashes) +
+                             " runs of one of its tasks") +
          ".";
 }
 
--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -1,6 +1,11 @@
+#include <algorithm>
+#include <array>
 #include <chrono>
 #include <map>
+#include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "src/sched/work_impl.h"
@@ -10,9 +15,49 @@
 
 // Minimum interval between two comparisons of lives by address.
 constexpr duration kLifeCheckInterval = std::chrono::milliseconds(100);
+// Time at work after which a run is unlikely to crash its minion, by the number
+// of earlier runs under which a minion crashed.
+constexpr std::array<duration, 4> kSettleTimes = {
+    std::chrono::seconds(2), std::chrono::seconds(2), std::chrono::seconds(10),
+    std::chrono::seconds(60)};
+// Time at work after which earlier crashes no longer count against a unit.
+// Machines also crash by themselves, and lasting tasks meet many such crashes.
+constexpr duration kForgiveTime = std::chrono::minutes(10);
+// A unit is given up after this many crashes, if it alone can have caused so
+// many of them.
+constexpr int kMaxCrashes = 3;
+constexpr int kMaxBlamedCrashes = 2;
+// A unit is given up after this many crashes, whatever caused them.
+constexpr int kMaxAnyCrashes = 5;
+
+// Whether a start of the member may have been executed.
+bool MayHaveStarted(const unit_member& member) {
+  return member.phase != member_phase::kPlanned &&
+         member.phase != member_phase::kTerminated;
+}
+
+duration SettleTimeOf(const work_unit& unit) {
+  const auto crashes = static_cast<std::size_t>(unit.crashed_runs);
+  return kSettleTimes.at(std::min(crashes, kSettleTimes.size() - 1));
+}
+
+duration TimeAtWork(const unit_member& member) {
+  return member.was_listed ? member.listed_at - member.confirmed_at
+                           : duration(0);
+}
+
+bool IsSettled(const work_unit& unit, const unit_member& member) {
+  return TimeAtWork(member) >= SettleTimeOf(unit);
+}
 
 }  // namespace
 
+std::string_view GetName(crash_role role) {
+  constexpr std::array<std::string_view, 3> kNames = {"bystander", "suspect",
+                                                      "sole suspect"};
+  return kNames.at(static_cast<std::size_t>(role));
+}
+
 // Ends the lives of silent minions at whose address a later incarnation has
 // answered, under whatever id: an address is served by one process at a time.
 // Without this proof, only the end of the lease shows that a run is over.
@@ -49,6 +94,78 @@
   }
 }
 
+// Returns the part that each run of a crashed minion may have had. A crash is
+// most likely due to what was started last, so that runs which had been at work
+// for some time are suspects only if there are no others.
+std::map<run_key, crash_role> work_core::impl::RolesInCrash(
+    const minion_entry& minion) {
+  std::set<const work_unit*> started;
+  std::set<const work_unit*> unsettled;
+  for (const auto& [run, ref] : minion.members) {
+    if (MayHaveStarted(*ref.member)) {
+      started.insert(ref.unit);
+      if (!IsSettled(*ref.unit, *ref.member)) {
+        unsettled.insert(ref.unit);
+      }
+    }
+  }
+  const std::set<const work_unit*>& suspects =
+      unsettled.empty() ? started : unsettled;
+  std::map<run_key, crash_role> roles;
+  for (const auto& [run, ref] : minion.members) {
+    if (!started.contains(ref.unit)) {
+      continue;
+    }
+    if (!suspects.contains(ref.unit)) {
+      roles[run] = crash_role::kBystander;
+    } else {
+      roles[run] = suspects.size() == 1 ? crash_role::kSoleSuspect
+                                        : crash_role::kSuspect;
+    }
+  }
+  return roles;
+}
+
+// Counts the crash of a member's minion against its unit, once a run. The count
+// goes into the record that names the minions of the next run. Gives the job up
+// when a unit has reached its limit.
+void work_core::impl::CountCrash(instant now,
+                                 const member_ref& ref,
+                                 std::optional<crash_role> role) {
+  work_unit& unit = *ref.unit;
+  if (!role || unit.has_run_crashed || unit.is_done || ref.job->IsEnded()) {
+    return;
+  }
+  unit.has_run_crashed = true;
+  ++unit.crashed_runs;
+  unit.blamed_runs += *role == crash_role::kSoleSuspect ? 1 : 0;
+  counters_.Add("sched_crashes");
+  LogEvent("crash_counted", ref.job->accepted.id,
+           FormatRun(KeyOf(*ref.job, unit, *ref.member)),
+           ref.member->incarnation.id,
+           std::string(GetName(*role)) + ", crashes " +
+               std::to_string(unit.crashed_runs) + ", as sole suspect " +
+               std::to_string(unit.blamed_runs));
+  MarkChanged(*ref.job);
+  const bool is_to_blame =
+      unit.crashed_runs >= kMaxCrashes && unit.blamed_runs >= kMaxBlamedCrashes;
+  if (is_to_blame || unit.crashed_runs >= kMaxAnyCrashes) {
+    counters_.Add("sched_given_up_after_crashes");
+    FailJob(
+        now, *ref.job, unit,
+        "minions crashed under " + std::to_string(unit.crashed_runs) + " runs");
+  }
+}
+
+void work_core::impl::ForgiveCrashes(const member_ref& ref) {
+  if (ref.unit->crashed_runs > 0 && !ref.unit->has_run_crashed &&
+      TimeAtWork(*ref.member) >= kForgiveTime) {
+    ref.unit->crashed_runs = 0;
+    ref.unit->blamed_runs = 0;
+    MarkChanged(*ref.job);
+  }
+}
+
 // Terminates all runs of a minion that is known to run no more.
 void work_core::impl::EndLife(instant now, minion_entry& minion) {
   counters_.Add("sched_lives_succeeded");
@@ -57,11 +174,18 @@
   const auto select_all = [](const run_key&, const member_ref&) {
     return true;
   };
+  const bool has_left = minion.report.is_draining || minion.is_cordoned;
+  const std::map<run_key, crash_role> roles = RolesInCrash(minion);
   for (const run_key& run : RunsWhere(minion, select_all)) {
     const member_ref ref = FindMember(run, minion.report.id);
-    if (ref.member != nullptr) {
-      HandleTerminatedMember(now, ref, close_cause::kRestarted);
+    if (ref.member == nullptr) {
+      continue;
+    }
+    const auto role = roles.find(run);
+    if (!has_left && role != roles.end()) {
+      CountCrash(now, ref, role->second);
     }
+    HandleTerminatedMember(now, ref, close_cause::kRestarted);
   }
 }
 
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -177,6 +177,10 @@
                               std::string_view detail = {});
   void ConfirmMember(instant now, const member_ref& ref);
   void CountFailure(instant now, job_entry& job, work_unit& unit);
+  void FailJob(instant now,
+               job_entry& job,
+               const work_unit& unit,
+               const std::string& reason);
   void UpdateState(instant now, job_entry& job);
   void MarkChanged(job_entry& job);
   bool MayStartOn(instant now, const minion_entry& minion) const;
@@ -187,7 +191,8 @@
   minion_entry* FindMinion(const std::string& id);
   void BeginIncarnation(instant now,
                         minion_entry& minion,
-                        std::int64_t incarnation);
+                        std::int64_t incarnation,
+                        bool has_left);
   static void MoveToIncarnation(minion_entry& minion, unit_member& member);
   void TerminateIfLeaseExpired(instant now, minion_entry& minion);
   void EmitPolls(instant now, minion_entry& minion);
@@ -218,6 +223,11 @@
 
   // work_crashes.cc
   void EndLife(instant now, minion_entry& minion);
+  static std::map<run_key, crash_role> RolesInCrash(const minion_entry& minion);
+  void CountCrash(instant now,
+                  const member_ref& ref,
+                  std::optional<crash_role> role);
+  void ForgiveCrashes(const member_ref& ref);
 
   // work_placing.cc
   bool CanSpreadOverRacks(instant now, const unit_ref& waiting) const;
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -67,7 +67,8 @@
     minion.is_listed = true;
     if (report.incarnation_unix_ms != known_incarnation) {
       minion.report.incarnation_unix_ms = known_incarnation;
-      BeginIncarnation(now, minion, report.incarnation_unix_ms);
+      BeginIncarnation(now, minion, report.incarnation_unix_ms,
+                       was_draining || minion.is_cordoned);
     }
     if (report.is_draining && !was_draining) {
       minion.drain_deadline = now + report.drain_remaining;
@@ -102,16 +103,17 @@
   }
 }
 
-// Handles a restart of the minion. Runs that the previous incarnation listed
-// ended with it, and planned ones were never sent: both are terminated. The
-// starts of the other runs may have reached the new incarnation, which has the
-// same id, so these runs are moved to it. If none of a run's starts can still
-// be executed, the next poll shows whether it runs. Otherwise the run is
-// closed, and the new incarnation acknowledges a stop before the run is
-// terminated.
+// Handles a restart of the minion; `has_left` if it was to leave anyway, so
+// that it has not crashed. Runs that the previous incarnation listed ended with
+// it, and planned ones were never sent: both are terminated. The starts of the
+// other runs may have reached the new incarnation, which has the same id, so
+// these runs are moved to it. If none of a run's starts can still be executed,
+// the next poll shows whether it runs. Otherwise the run is closed, and the new
+// incarnation acknowledges a stop before the run is terminated.
 void work_core::impl::BeginIncarnation(instant now,
                                        minion_entry& minion,
-                                       std::int64_t incarnation) {
+                                       std::int64_t incarnation,
+                                       bool has_left) {
   LogEvent(
       "minion_life", "", "", minion.report.id,
       "born " + std::to_string(incarnation) + " at " + minion.report.address);
@@ -126,6 +128,12 @@
   MarkDirty(minion);
   minion.next_poll = now;
   minion.trust = minion_trust();
+  const std::map<run_key, crash_role> roles =
+      has_left ? std::map<run_key, crash_role>() : RolesInCrash(minion);
+  const auto role_of = [&roles](const run_key& run) {
+    const auto role = roles.find(run);
+    return role == roles.end() ? std::nullopt : std::optional(role->second);
+  };
   const auto is_of_earlier_incarnation = [&](const run_key&,
                                              const member_ref& ref) {
     return ref.member->incarnation.incarnation_unix_ms != incarnation;
@@ -136,10 +144,12 @@
       continue;
     }
     if (ref.member->was_listed || ref.member->phase == member_phase::kPlanned) {
+      CountCrash(now, ref, role_of(run));
       HandleTerminatedMember(now, ref, close_cause::kRestarted);
       continue;
     }
     MoveToIncarnation(minion, *ref.member);
+    ref.member->role_in_restart = role_of(run);
     const bool can_be_resolved_by_poll =
         ref.member->phase == member_phase::kInherited ||
         (ref.member->phase == member_phase::kRunning &&
@@ -188,7 +198,8 @@
     return;
   }
   if (answer.incarnation_unix_ms > minion->report.incarnation_unix_ms) {
-    BeginIncarnation(now, *minion, answer.incarnation_unix_ms);
+    BeginIncarnation(now, *minion, answer.incarnation_unix_ms,
+                     minion->report.is_draining || minion->is_cordoned);
     // It may have another capacity and other labels than its entry says, until
     // its own entry is read.
     minion->is_listed = false;
@@ -277,6 +288,8 @@
     }
     ref.member->was_listed = true;
     ref.member->listed_at = now;
+    ref.member->role_in_restart.reset();
+    ForgiveCrashes(ref);
     ref.member->load = run.load;
     ref.member->load_at = now;
     if (ref.member->percent != run.progress_percent) {
@@ -304,6 +317,7 @@
   for (const run_key& run : RunsWhere(minion, is_gone)) {
     const member_ref ref = FindMember(run, minion.report.id);
     if (ref.member != nullptr) {
+      CountCrash(now, ref, ref.member->role_in_restart);
       HandleTerminatedMember(now, ref, close_cause::kNotListed);
     }
   }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -376,6 +376,7 @@
                               const std::vector<minion_view>& views) {
   ++unit.run;
   unit.has_run_failed = false;
+  unit.has_run_crashed = false;
   unit.claimed_at = now;
   unit.members.clear();
   unit.members.reserve(minion_indices.size());
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -372,6 +372,7 @@
   }
   unit.members.clear();
   unit.has_run_failed = false;
+  unit.has_run_crashed = false;
   SetPhase(job, unit, unit.is_done ? unit_phase::kDone : unit_phase::kWaiting);
   unit.waiting_since = now;
   should_place_ = true;
@@ -475,10 +476,19 @@
       job.accepted.spec.steps.at(unit.step).is_persistent || job.IsEnded()) {
     return;
   }
+  FailJob(now, job, unit, "failed runs: " + std::to_string(unit.failed_runs));
+}
+
+// Ends a job because one of its units has failed for good.
+void work_core::impl::FailJob(instant now,
+                              job_entry& job,
+                              const work_unit& unit,
+                              const std::string& reason) {
   job.state = job_state::kFailed;
   job.ended_at = now;
+  MarkChanged(job);
   LogEvent("job_failed", job.accepted.id, std::to_string(unit.step), "",
-           "failed runs: " + std::to_string(unit.failed_runs));
+           reason);
   CloseNeedlessRuns(now, job);
 }
 
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <vector>
 
@@ -30,6 +31,16 @@
   kTerminated,   ///< It is not running and can never start.
 };
 
+/// Part that a run may have had in the crash of its minion.
+enum class crash_role : std::uint8_t {
+  kBystander,    ///< It had been at work; another run had just been started.
+  kSuspect,      ///< It or another run may have caused the crash.
+  kSoleSuspect,  ///< No other run can have caused it.
+};
+
+/// Name of `role` in logs.
+std::string_view GetName(crash_role role);
+
 /// One task of a unit's current run.
 struct unit_member {
   int index = 0;  ///< Index of the task in its step.
@@ -53,6 +64,9 @@
   std::optional<int> pace_percent = 100;
   bool is_pace_in_flight = false;
   instant progressed_at;  ///< Time of the last change of `percent`.
+  /// Set if its minion has restarted under the same id and it is not known yet
+  /// in which incarnation the run was started.
+  std::optional<crash_role> role_in_restart;
 };
 
 /// State of a unit.
@@ -78,8 +92,11 @@
   int failed_runs = 0;   ///< Counted against the attempts of the queue.
   bool is_done = false;
   bool has_run_failed = false;  ///< The current run is in `failed_runs`.
-  bool has_started = false;     ///< Some run of it had a confirmed member.
-  std::string checkpoint;       ///< The newest known; empty: none.
+  int crashed_runs = 0;         ///< Runs under which a minion crashed.
+  int blamed_runs = 0;  ///< Of these, runs that alone can have caused it.
+  bool has_run_crashed = false;  ///< The current run is in `crashed_runs`.
+  bool has_started = false;      ///< Some run of it had a confirmed member.
+  std::string checkpoint;        ///< The newest known; empty: none.
   /// Minions on which a run of it failed or stalled.
   std::set<std::string> failed_on;
   std::vector<unit_member> members;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -70,7 +70,9 @@
     CHECK(fleet.StateOf("deadly") == job_state::kFailed);
   }
   SECTION("if it belongs to a gang") {
-    fleet.Submit(Gang("deadly", 0, 3));
+    accepted_job gang = Gang("deadly", 0, 3);
+    gang.spec.steps[0].estimate = 5s;
+    fleet.Submit(gang);
     CHECK(fleet.RunUntilEnded(90s));
     CHECK(fleet.StateOf("deadly") == job_state::kFailed);
   }
