Ask for room again when a start is sent

Cause: room is reserved when a run is placed and was not asked for again.

Change: a start is sent, or sent again, only if the present capacity of each of its minions holds all that is placed there, what is being stopped included. What runs there runs on: stopping it would lose its work, and the rule is about starts. It is used again once it has grown.

Evidence: "Nothing is started on a minion whose capacity has shrunk" failed before (four starts beyond the capacity) and passes now; 672 and 424 assertions of the scheduler's cases pass unchanged.

--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -142,7 +142,8 @@
 bool work_core::impl::MayStartOn(instant now,
                                  const minion_entry& minion) const {
   return MayStartAnything(now) && !minion.report.is_draining &&
-         !evacuations_.Places().contains(minion.report.zone);
+         !evacuations_.Places().contains(minion.report.zone) &&
+         minion.report.capacity.Holds(minion.used);
 }
 
 // Sends unanswered starts again, up to kMaxStartAttempts times in all; then the
@@ -175,7 +176,8 @@
 }
 
 // Starts all members or none: if one minion has become unusable since the
-// placement, no start is sent.
+// placement, or has shrunk so that not all runs placed there fit, no start is
+// sent.
 void work_core::impl::StartUnit(instant now, job_entry& job, work_unit& unit) {
   for (const unit_member& member : unit.members) {
     const minion_entry& minion = MinionOf(member.incarnation.id);
@@ -188,7 +190,12 @@
     const bool is_fit =
         health == kUsable ||
         (health == kAvoided && unit_ref{&job, &unit}.Step().is_persistent);
-    if (!is_same || is_ticket_missing || !is_fit || !MayStartAnything(now)) {
+    const bool has_room = minion.report.capacity.Holds(minion.used);
+    if (!has_room) {
+      counters_.Add("sched_start_dropped_capacity_shrunk");
+    }
+    if (!is_same || is_ticket_missing || !is_fit || !has_room ||
+        !MayStartAnything(now)) {
       counters_.Add("sched_start_dropped_minion_unfit");
       CloseRun(now, job, unit, close_cause::kMinionUnusable);
       return;
