Start nothing by a list of minions that is too old

Change: nothing is placed or started once the list is older than 3.5 s.

Evidence: the section "though the list that shows it cannot be read" failed before (4 starts beyond a capacity that had shrunk 5 s earlier) and passes now, with all cases of the scheduler.

--- a/src/sched/work_draining.cc
+++ b/src/sched/work_draining.cc
@@ -10,6 +10,9 @@
 // its minion leaves.
 constexpr duration kDrainMargin = std::chrono::milliseconds(300);
 constexpr double kWholePercent = 100;
+// Age of the list of minions from which nothing is started: any of them may
+// have shrunk or begun to drain since.
+constexpr duration kMaxMinionListAge = std::chrono::milliseconds(3500);
 // Minimum progress from which a run's speed is estimated; whole percents are
 // too coarse below it.
 constexpr int kMinPercent = 5;
@@ -91,9 +94,12 @@
   }
 }
 
-// Returns whether the evacuated data centres are known well enough to start
-// anything.
+// Returns whether the minions and the evacuated data centres are known well
+// enough to start anything.
 bool work_core::impl::MayStartAnything(instant now) const {
+  if (now - minion_list_read_at_ > kMaxMinionListAge) {
+    return false;
+  }
   return options_.max_evacuation_age == duration(0) ||
          (evacuations_.ConfirmedAt() != instant() &&
           now - evacuations_.ConfirmedAt() <= options_.max_evacuation_age);
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -197,6 +197,18 @@
     fleet.Run(4s);
     CHECK(fleet.starts["a"] > 0);
   }
+  SECTION("though the list that shows it cannot be read") {
+    fleet.Run(1s);
+    fleet.is_list_readable = false;
+    fleet.Run(100ms);
+    fleet.SetCapacity(id, half);
+    fleet.Run(5s);
+    fleet.Submit(OneStep("a", 1, 8, kSmall, 1s));
+    fleet.Run(2s);
+    CHECK(fleet.starts["a"] == 0);
+    fleet.is_list_readable = true;
+    REQUIRE(fleet.RunUntilEnded(6s));
+  }
   SECTION("though only what is being stopped exceeds it") {
     fleet.Submit(OneStep("a", 1, 8, kSmall, 60s));
     fleet.Run(1s);
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -108,6 +108,9 @@
   /// Sends the platform's list of minions: those that are up and not
   /// partitioned.
   void SendMinionList() {
+    if (!is_list_readable) {
+      return;
+    }
     std::vector<minion_report> listed;
     for (const auto& [id, minion] : minions) {
       if (minion.is_up && !minion.is_partitioned) {
@@ -213,6 +216,7 @@
   evacuations evacuated;
   /// Whether the evacuated data centres are confirmed all the time.
   bool is_operator_reachable = true;
+  bool is_list_readable = true;  ///< Whether the list of minions is.
   fake_table table;
   std::vector<std::string> violations;
   std::map<std::string, int> starts;  ///< Executed starts by job.
