Isolate tasks under which a minion has crashed until they have settled

Callers saw: sound jobs that lost their work several times, because a task that had crashed a minion was started beside them again.

Cause: a task under which a minion crashed was placed like any other, so that each further crash had new victims, and none of them told who was to blame.

Change: a run that had just been started when its minion crashed, or that meets its second crash, makes its unit a suspect. The next run of a suspect is isolated: on an idle minion or, after a short wait, beside settled runs, and nothing else is started there until it has been at work for 2 s (10 s and 60 s after further crashes). Isolated runs hold at most a quarter of the minions; in a fleet of less than four nothing is kept off a minion. A suspect that waits does not hold up the other tasks of its step.

Evidence: "A task under which a minion crashed is tried apart from others" and "Suspects leave most of the fleet to sound tasks" fail without the change. Two tasks that were started a second before a crash on a fleet of one minion run again one after the other now; the section that had them expects both at once for tasks at work for 4 s.

--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -180,6 +180,8 @@
     it->crashed_runs = recorded.crashed_runs;
     it->blamed_runs = recorded.blamed_runs;
     it->has_run_crashed = recorded.has_run_crashed;
+    it->is_suspect = recorded.crashed_runs > 0;
+    it->is_isolated = it->is_suspect && !recorded.members.empty();
     if (recorded.is_done) {
       entry.SetDone(*it);
     }
--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "src/sched/work_impl.h"
@@ -29,6 +30,12 @@
 constexpr int kMaxBlamedCrashes = 2;
 // A unit is given up after this many crashes, whatever caused them.
 constexpr int kMaxAnyCrashes = 5;
+// Part of a service's minions that isolated runs may hold at the same time.
+constexpr std::size_t kMaxIsolatingShare = 4;
+// Wait after which a suspect is placed beside runs that have settled, by
+// whether it was the sole suspect of a crash.
+constexpr duration kIdleMinionWait = std::chrono::milliseconds(300);
+constexpr duration kIdleMinionWaitIfBlamed = std::chrono::seconds(2);
 
 // Whether a start of the member may have been executed.
 bool MayHaveStarted(const unit_member& member) {
@@ -137,6 +144,7 @@
     return;
   }
   unit.has_run_crashed = true;
+  unit.is_suspect = unit.crashed_runs > 0 || !IsSettled(unit, *ref.member);
   ++unit.crashed_runs;
   unit.blamed_runs += *role == crash_role::kSoleSuspect ? 1 : 0;
   counters_.Add("sched_crashes");
@@ -162,10 +170,123 @@
       TimeAtWork(*ref.member) >= kForgiveTime) {
     ref.unit->crashed_runs = 0;
     ref.unit->blamed_runs = 0;
+    ref.unit->is_suspect = false;
     MarkChanged(*ref.job);
   }
 }
 
+void work_core::impl::AddToIsolated(minion_entry& minion, int delta) {
+  const bool was_isolating = minion.counts.isolated > 0;
+  minion.counts.isolated += delta;
+  const bool is_isolating = minion.counts.isolated > 0;
+  isolating_minions_ +=
+      static_cast<int>(is_isolating) - static_cast<int>(was_isolating);
+}
+
+// Opens the minions of an isolated run to others once all its members have
+// settled.
+void work_core::impl::EndIsolationIfSettled(work_unit& unit) {
+  const bool is_settled = std::all_of(
+      unit.members.begin(), unit.members.end(),
+      [&](const unit_member& member) { return IsSettled(unit, member); });
+  if (!unit.is_isolated || !is_settled) {
+    return;
+  }
+  unit.is_isolated = false;
+  should_place_ = true;
+  for (const unit_member& member : unit.members) {
+    if (member.phase != member_phase::kTerminated) {
+      minion_entry& minion = MinionOf(member.incarnation.id);
+      AddToIsolated(minion, -1);
+      MarkDirty(minion);
+    }
+  }
+}
+
+// Whether isolated runs may hold as many minions more as the unit needs. A gang
+// that is wider than their share is isolated alone.
+bool work_core::impl::CanIsolate(const work_unit& unit,
+                                 const fleet_view& fleet) const {
+  const auto held = static_cast<std::size_t>(isolating_minions_);
+  const auto width = static_cast<std::size_t>(unit.width);
+  return held == 0 ||
+         held + width <= fleet.Minions().size() / kMaxIsolatingShare;
+}
+
+// Whether the unit's next run keeps others off its minions. In a fleet of few
+// minions that would hold up everything.
+bool work_core::impl::IsIsolated(const job_entry& job,
+                                 const work_unit& unit) const {
+  const auto fleet = fleets_.find(ServiceOf(job));
+  return unit.is_suspect && fleet != fleets_.end() &&
+         fleet->second.Minions().size() >= kMaxIsolatingShare;
+}
+
+bool work_core::impl::HasUnsettledRuns(const minion_entry& minion) {
+  return std::any_of(
+      minion.members.begin(), minion.members.end(), [](const auto& item) {
+        return !IsSettled(*item.second.unit, *item.second.member);
+      });
+}
+
+// Returns the minions on which the unit's run can be isolated: idle ones or,
+// unless `is_idle_only`, those with settled runs only, so that a crash is due
+// to the unit.
+fleet_view work_core::impl::IsolatedView(instant now,
+                                         const unit_ref& unit,
+                                         const std::vector<minion_view>& views,
+                                         bool is_idle_only) const {
+  const bool can_use_avoided = CanUseAvoidedMinions(now, unit);
+  std::vector<minion_view> chosen;
+  for (const minion_view& view : views) {
+    const minion_entry& minion = minions_.at(view.id);
+    const bool is_usable =
+        view.is_usable ||
+        (can_use_avoided && HealthOf(now, minion) == kAvoided);
+    const bool is_free =
+        is_idle_only ? minion.members.empty() : !HasUnsettledRuns(minion);
+    if (is_usable && is_free) {
+      chosen.push_back(view);
+      chosen.back().is_usable = true;
+      chosen.back().is_evictable_current = false;
+    }
+  }
+  return fleet_view(std::move(chosen));
+}
+
+// Places a unit under which a minion may have crashed. A deadly one costs least
+// on an idle minion; a sound one should not wait long for that.
+bool work_core::impl::TryPlaceIsolated(instant now,
+                                       job_entry& job,
+                                       work_unit& unit) {
+  const fleet_view& fleet = fleets_.at(ServiceOf(job));
+  if (!CanIsolate(unit, fleet)) {
+    counters_.Add("sched_isolation_limit_reached");
+    return false;
+  }
+  const std::vector<minion_view> views =
+      NeedsAdvice(job) ? AdvisedViews(now, job, unit, fleet.Minions())
+                       : fleet.Minions();
+  fleet_view idle = IsolatedView(now, {&job, &unit}, views, true);
+  if (TryPlaceAmong(now, job, unit, idle)) {
+    counters_.Add("sched_isolated_on_idle");
+    return true;
+  }
+  const duration wait =
+      unit.blamed_runs > 0 ? kIdleMinionWaitIfBlamed : kIdleMinionWait;
+  if (now - unit.waiting_since >= wait) {
+    fleet_view settled = IsolatedView(now, {&job, &unit}, views, false);
+    if (TryPlaceAmong(now, job, unit, settled)) {
+      counters_.Add("sched_isolated_beside_settled");
+      return true;
+    }
+  }
+  if (NeedsAdvice(job)) {
+    RequestAdvice(now, job, unit, fleet.Minions());
+  }
+  return false;
+}
+
 // Terminates all runs of a minion that is known to run no more.
 void work_core::impl::EndLife(instant now, minion_entry& minion) {
   counters_.Add("sched_lives_succeeded");
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -23,6 +23,8 @@
 /// because its runs failed, stalled or were not answered.
 inline constexpr std::string_view kUsable = "usable";
 inline constexpr std::string_view kAvoided = "avoided";
+/// Health of a minion that is kept from other tasks by an isolated run.
+inline constexpr std::string_view kIsolating = "isolates a suspect";
 
 /// State and decisions of work_core. work_core.cc processes rows, work_runs.cc
 /// tracks runs, work_minions.cc tracks minions, work_wakeups.cc schedules when
@@ -142,9 +144,8 @@
   member_ref FindMember(const run_key& run, const std::string& minion) const;
   void AddMember(minion_entry& minion, const member_ref& ref);
   void RemoveMember(minion_entry& minion, const member_ref& ref);
-  static void AddToCounts(minion_entry& minion,
-                          const member_ref& ref,
-                          int delta);
+  void AddToCounts(minion_entry& minion, const member_ref& ref, int delta);
+  void AddToIsolated(minion_entry& minion, int delta);
   static run_key KeyOf(const job_entry& job,
                        const work_unit& unit,
                        const unit_member& member);
@@ -228,6 +229,15 @@
                   const member_ref& ref,
                   std::optional<crash_role> role);
   void ForgiveCrashes(const member_ref& ref);
+  void EndIsolationIfSettled(work_unit& unit);
+  bool CanIsolate(const work_unit& unit, const fleet_view& fleet) const;
+  bool IsIsolated(const job_entry& job, const work_unit& unit) const;
+  static bool HasUnsettledRuns(const minion_entry& minion);
+  fleet_view IsolatedView(instant now,
+                          const unit_ref& unit,
+                          const std::vector<minion_view>& views,
+                          bool is_idle_only) const;
+  bool TryPlaceIsolated(instant now, job_entry& job, work_unit& unit);
 
   // work_placing.cc
   bool CanSpreadOverRacks(instant now, const unit_ref& waiting) const;
@@ -410,6 +420,7 @@
   // A minion may have answered since lives were last compared by address.
   bool has_new_answers_ = false;
   instant next_life_check_;
+  int isolating_minions_ = 0;  // Minions with members of isolated runs.
   instant minion_list_read_at_;
   instant next_placement_;        // If no event occurs.
   instant placement_not_before_;  // Regardless of events.
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -13,8 +13,9 @@
 // is read from the answers to polls and must be recent. The minion measures it
 // over half a second.
 constexpr duration kServingPollWait = std::chrono::milliseconds(400);
-// Wait where urgent runs are present: they take seconds, so that a stalled one
-// must be detected sooner.
+// Wait where urgent or isolated runs are present: urgent runs take seconds, so
+// that a stalled one must be detected sooner, and an isolated run keeps others
+// from its minion until it is known to have settled.
 constexpr duration kUrgentPollWait = std::chrono::milliseconds(400);
 // Wait where urgent runs are present while several minions hang.
 constexpr duration kAlertPollWait = std::chrono::milliseconds(250);
@@ -289,6 +290,7 @@
     ref.member->was_listed = true;
     ref.member->listed_at = now;
     ref.member->role_in_restart.reset();
+    EndIsolationIfSettled(*ref.unit);
     ForgiveCrashes(ref);
     ref.member->load = run.load;
     ref.member->load_at = now;
@@ -417,7 +419,9 @@
   if (stall_alert_.IsRaised(now)) {
     return minion.counts.urgent > 0 ? kAlertPollWait : kUrgentPollWait;
   }
-  return minion.counts.urgent > 0 ? kUrgentPollWait : kPollWait;
+  return minion.counts.urgent > 0 || minion.counts.isolated > 0
+             ? kUrgentPollWait
+             : kPollWait;
 }
 
 void work_core::impl::EmitPolls(instant now, minion_entry& minion) {
@@ -500,6 +504,9 @@
   if (!minion.is_responsive) {
     return "silent";
   }
+  if (minion.counts.isolated > 0) {
+    return kIsolating;
+  }
   return minion.trust.IsAvoided(now) ? kAvoided : kUsable;
 }
 
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -133,7 +133,8 @@
     std::size_t next = position + 1;
     if (!IsStepReady(wall_ms, job, unit) ||
         (!is_deferred && !PlaceOrSkip(now, waiting, unplaced))) {
-      next = PositionAfterStep(waiting, position);
+      // A suspect that waits for isolation does not hold up the others.
+      next = unit.is_suspect ? next : PositionAfterStep(waiting, position);
     } else if (!is_deferred && !has_run_before) {
       tasks_in_progress += unit.width;
     }
@@ -183,6 +184,9 @@
 bool work_core::impl::IsAtLeastAsHardToPlace(instant now,
                                              const unit_ref& unit,
                                              const unit_ref& unplaced) const {
+  if (unplaced.unit->is_suspect && !unit.unit->is_suspect) {
+    return false;
+  }
   const bool is_same_step =
       unit.job == unplaced.job &&
       unit.unit->occurrence == unplaced.unit->occurrence &&
@@ -222,6 +226,9 @@
   if (fleet == fleets_.end()) {
     return false;
   }
+  if (unit.is_suspect) {
+    return TryPlaceIsolated(now, job, unit);
+  }
   if (!NeedsAdvice(job)) {
     return TryPlaceAmong(now, job, unit, fleet->second) ||
            TryPlaceOnAvoided(now, job, unit, fleet->second);
@@ -280,7 +287,9 @@
        step_shape{step.Reserved(), unit.unit->width, step.max_per_minion,
                   step.required_label, step.data_rack}});
   if (is_new) {
-    it->second = CouldEverFit(step, unit.unit->width, fleet, true);
+    // `fleet` may be a part of the service's minions.
+    it->second =
+        CouldEverFit(step, unit.unit->width, fleets_.at(service), true);
   }
   return it->second;
 }
@@ -377,6 +386,7 @@
   ++unit.run;
   unit.has_run_failed = false;
   unit.has_run_crashed = false;
+  unit.is_isolated = IsIsolated(job, unit);
   unit.claimed_at = now;
   unit.members.clear();
   unit.members.reserve(minion_indices.size());
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -100,6 +100,7 @@
   minion.counts.fillers += step.is_filler ? delta : 0;
   minion.counts.stop_acknowledged +=
       ref.member->is_stop_acknowledged ? delta : 0;
+  AddToIsolated(minion, ref.unit->is_isolated ? delta : 0);
 }
 
 // Reserves capacity for the member until it is terminated.
@@ -189,7 +190,8 @@
     const std::string_view health = HealthOf(now, minion);
     const bool is_fit =
         health == kUsable ||
-        (health == kAvoided && unit_ref{&job, &unit}.Step().is_persistent);
+        (health == kAvoided && unit_ref{&job, &unit}.Step().is_persistent) ||
+        (health == kIsolating && unit.is_isolated);
     const bool has_room = minion.report.capacity.Holds(minion.used);
     if (!has_room) {
       counters_.Add("sched_start_dropped_capacity_shrunk");
@@ -378,6 +380,7 @@
     return;
   }
   unit.members.clear();
+  unit.is_isolated = false;
   unit.has_run_failed = false;
   unit.has_run_crashed = false;
   SetPhase(job, unit, unit.is_done ? unit_phase::kDone : unit_phase::kWaiting);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -95,8 +95,12 @@
   int crashed_runs = 0;         ///< Runs under which a minion crashed.
   int blamed_runs = 0;  ///< Of these, runs that alone can have caused it.
   bool has_run_crashed = false;  ///< The current run is in `crashed_runs`.
-  bool has_started = false;      ///< Some run of it had a confirmed member.
-  std::string checkpoint;        ///< The newest known; empty: none.
+  /// It may crash the minions of its next run, which has to be isolated:
+  /// nothing else is started beside it until it has settled.
+  bool is_suspect = false;
+  bool is_isolated = false;  ///< The current run is isolated and not settled.
+  bool has_started = false;  ///< Some run of it had a confirmed member.
+  std::string checkpoint;    ///< The newest known; empty: none.
   /// Minions on which a run of it failed or stalled.
   std::set<std::string> failed_on;
   std::vector<unit_member> members;
@@ -217,6 +221,7 @@
   int serving = 0;            ///< Members with a target for tail latency.
   int fillers = 0;            ///< Members that use leftover cores.
   int stop_acknowledged = 0;  ///< Members whose stop was acknowledged.
+  int isolated = 0;           ///< Members of isolated runs.
 };
 
 /// An end that may be acknowledged to its minion once `change` of `job` is
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -16,8 +16,9 @@
 // be handled in the next decision.
 void work_core::impl::MarkDirty(minion_entry& minion) {
   if (minion.fleet != nullptr) {
-    minion.fleet->MutableMinion(minion.view_index).free =
-        minion.report.capacity - minion.used;
+    minion_view& view = minion.fleet->MutableMinion(minion.view_index);
+    view.free = minion.report.capacity - minion.used;
+    view.is_usable = view.is_usable && minion.counts.isolated == 0;
   }
   if (!minion.is_dirty) {
     minion.is_dirty = true;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -93,9 +93,20 @@
   options.minions = 1;
   fake_fleet fleet(options);
   fleet.Submit(OneStep("sound", 1, 2, kSmall, 20s));
-  fleet.Run(1s);
-  REQUIRE(fleet.CountRunning("sound") == 2);
   const std::string id = fleet.minions.begin()->first;
+
+  SECTION("one after the other if they had just been started") {
+    fleet.Run(1s);
+    fleet.CrashMinion(id);
+    fleet.Run(4500ms);
+    CHECK(fleet.starts["sound"] == 3);
+    fleet.Run(3s);
+    CHECK(fleet.starts["sound"] == 4);
+    CheckNoViolations(fleet);
+    return;
+  }
+  fleet.Run(4s);
+  REQUIRE(fleet.CountRunning("sound") == 2);
   fleet.CrashMinion(id);
 
   SECTION("for the owner that saw the crash") {
@@ -113,6 +124,62 @@
   CheckNoViolations(fleet);
 }
 
+// Guards against crashes that cost further neighbours, because a task under
+// which a minion has just crashed is started beside others.
+TEST_CASE("A task under which a minion crashed is tried apart from others") {
+  fake_fleet fleet({});
+  MakeDeadly(fleet, "deadly");
+  fleet.Submit(OneStep("deadly", 1, 1, kSmall, 5s));
+  fleet.Submit(OneStep("sound", 1, 7, kSmall, 5s));
+  fleet.Run(1s);
+  REQUIRE(fleet.crash_count == 1);
+  for (int i = 0; i < 60; ++i) {
+    fleet.Submit(OneStep("later" + std::to_string(i), 1, 2, kSmall, 2s));
+    fleet.Run(200ms);
+  }
+  CHECK(fleet.RunUntilEnded(60s));
+  CHECK(fleet.StateOf("deadly") == job_state::kFailed);
+  CHECK(fleet.crash_count == 3);
+  CHECK(fleet.StateOf("sound") == job_state::kComplete);
+  CHECK(fleet.starts["sound"] == 14);
+  for (int i = 0; i < 60; ++i) {
+    CHECK(fleet.starts["later" + std::to_string(i)] == 2);
+  }
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("Suspects leave most of the fleet to sound tasks") {
+  fake_fleet::options options;
+  options.minions = 16;
+  fake_fleet fleet(options);
+  fleet.crashes_minions = [](const task_key& task) {
+    return task.job.starts_with("deadly");
+  };
+  for (int i = 0; i < 12; ++i) {
+    fleet.Submit(OneStep("deadly" + std::to_string(i), 0, 1, kSmall, 5s));
+  }
+  int most = 0;
+  for (int i = 0; i < 400; ++i) {
+    if (i % 10 == 0) {
+      fleet.Submit(OneStep("urgent" + std::to_string(i), 0, 3, kSmall, 1s));
+    }
+    fleet.Run(50ms);
+    int isolating = 0;
+    for (const minion_status& minion : fleet.core->Minions()) {
+      isolating += minion.health == "isolates a suspect" ? 1 : 0;
+    }
+    most = std::max(most, isolating);
+  }
+  CHECK(most > 0);
+  CHECK(most <= 4);
+  CHECK(fleet.RunUntilEnded(60s));
+  for (int i = 0; i < 400; i += 10) {
+    CHECK(fleet.StateOf("urgent" + std::to_string(i)) == job_state::kComplete);
+  }
+  CHECK(MostCrashes(fleet) <= 5);
+  CheckNoViolations(fleet);
+}
+
 // Guards against sound tasks that are lost or given up with a deadly one,
 // because it is started beside them again and again.
 TEST_CASE("A crash costs the sound tasks beside it one run") {
