Count crashes of machines that are back only after the lease

Cause: a run whose lease had run out while its minion was silent counted against nothing, since the minion may only be cut off.

Change: such a run stays unresolved, in the record as well, until the same incarnation answers (it was cut off), a later one answers under its id or at its address (it has crashed), or a minute has passed. A task whose crashes and unresolved runs reach the limit of crashes waits for that. A record names at most 480 tasks in progress in place of 500, to leave room for unresolved runs.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -77,6 +77,9 @@
   /// The latest run is among `failed_runs`; further members of it may fail.
   bool has_run_failed = false;
   std::vector<task_crashes> crashes;  ///< Of its tasks that met any.
+  /// Members of earlier runs whose lease has expired; their minions may have
+  /// crashed.
+  std::vector<recorded_member> unresolved;
 };
 
 /// State of one job that the next owner needs. A unit that is done and has no
@@ -88,7 +91,10 @@
 
 /// Limit of tasks of one job that have started and are not done. The record of
 /// each takes up to 120 bytes, and a row of the store holds at most 64 KB.
-inline constexpr int kMaxTasksInProgress = 500;
+inline constexpr int kMaxTasksInProgress = 480;
+
+/// Limit of `unresolved` members in one record; further ones are not recorded.
+inline constexpr std::size_t kMaxUnresolvedMembers = 20;
 
 /// Encodes the number of waiting jobs by queue as JSON.
 std::string EncodeWaitingCounts(const std::map<std::string, int>& waiting);
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -12,6 +12,7 @@
 // Optional elements of a recorded unit; rows of earlier builds end before them.
 constexpr std::size_t kRunFailedIndex = 8;
 constexpr std::size_t kCrashesIndex = 9;
+constexpr std::size_t kUnresolvedIndex = 10;
 // Optional element of a recorded member.
 constexpr std::size_t kAddressIndex = 3;
 constexpr std::string_view kCancelSuffix = ".cancel";
@@ -83,25 +84,41 @@
   return step;
 }
 
-json ToJson(const recorded_unit& unit) {
-  json members = json::array();
-  for (const recorded_member& member : unit.members) {
-    members.push_back(
-        json::array({member.index, member.minion, member.incarnation_unix_ms,
-                     member.address}));
+json ToJson(const std::vector<recorded_member>& members) {
+  json rows = json::array();
+  for (const recorded_member& member : members) {
+    rows.push_back(json::array({member.index, member.minion,
+                                member.incarnation_unix_ms, member.address}));
   }
+  return rows;
+}
+
+std::vector<recorded_member> ToMembers(const json& rows) {
+  std::vector<recorded_member> members;
+  for (const json& row : rows) {
+    members.push_back({row.at(0), row.at(1), row.at(2),
+                       row.size() > kAddressIndex
+                           ? row.at(kAddressIndex).get<std::string>()
+                           : std::string()});
+  }
+  return members;
+}
+
+json ToJson(const recorded_unit& unit) {
   json document = json::array({unit.occurrence, unit.step, unit.index, unit.run,
                                unit.failed_runs, unit.is_done, unit.checkpoint,
-                               std::move(members)});
-  if (unit.has_run_failed || !unit.crashes.empty()) {
+                               ToJson(unit.members)});
+  const bool has_losses = !unit.crashes.empty() || !unit.unresolved.empty();
+  if (unit.has_run_failed || has_losses) {
     document.push_back(unit.has_run_failed);
   }
-  if (!unit.crashes.empty()) {
+  if (has_losses) {
     json crashes = json::array();
     for (const task_crashes& task : unit.crashes) {
       crashes.push_back(json::array({task.index, task.crashes, task.blamed}));
     }
     document.push_back(std::move(crashes));
+    document.push_back(ToJson(unit.unresolved));
   }
   return document;
 }
@@ -115,12 +132,7 @@
   unit.failed_runs = document.at(4);
   unit.is_done = document.at(5);
   unit.checkpoint = document.at(6);
-  for (const json& member : document.at(7)) {
-    unit.members.push_back({member.at(0), member.at(1), member.at(2),
-                            member.size() > kAddressIndex
-                                ? member.at(kAddressIndex).get<std::string>()
-                                : std::string()});
-  }
+  unit.members = ToMembers(document.at(7));
   unit.has_run_failed =
       document.size() > kRunFailedIndex && document.at(kRunFailedIndex);
   if (document.size() > kCrashesIndex) {
@@ -128,6 +140,9 @@
       unit.crashes.push_back({task.at(0), task.at(1), task.at(2)});
     }
   }
+  if (document.size() > kUnresolvedIndex) {
+    unit.unresolved = ToMembers(document.at(kUnresolvedIndex));
+  }
   return unit;
 }
 
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -178,7 +178,8 @@
     it->failed_runs = recorded.failed_runs;
     it->has_run_failed = recorded.has_run_failed;
     it->crashes = recorded.crashes;
-    it->is_suspect = !recorded.crashes.empty();
+    RestoreUnresolved(entry, *it, recorded);
+    it->is_suspect = !it->crashes.empty() || !it->unresolved.empty();
     it->is_isolated = it->is_suspect && !recorded.members.empty();
     if (recorded.is_done) {
       entry.SetDone(*it);
@@ -323,6 +324,8 @@
       {job.accepted.priority, job.accepted_version, job.accepted.id});
   open_jobs_.erase(id);
   changed_jobs_.erase(id);
+  std::erase_if(unresolved_units_,
+                [&](const unit_ref& ref) { return ref.job == &job; });
   jobs_.erase(it);
 }
 
--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -34,6 +34,8 @@
 constexpr std::size_t kCommonCauseMinions = 6;
 constexpr std::size_t kCommonCauseShare = 16;
 constexpr duration kSilenceAge = std::chrono::minutes(1);
+// Time after which a lost minion is taken to be gone for good.
+constexpr duration kMaxUnresolvedTime = std::chrono::minutes(1);
 // Part of a service's minions that isolated runs may hold at the same time.
 constexpr std::size_t kMaxIsolatingShare = 4;
 // Wait after which a suspect is placed beside runs that have settled, by
@@ -71,6 +73,21 @@
              : unit.crashes.emplace_back(task_crashes{index, 0, 0});
 }
 
+// Whether one more crash under a task of the unit would be beyond its limit, if
+// its lost minions have crashed.
+bool MustAwaitResolution(const work_unit& unit) {
+  std::map<int, int> losses;
+  for (const task_crashes& task : unit.crashes) {
+    losses[task.index] += task.crashes;
+  }
+  for (const crash_evidence& lost : unit.unresolved) {
+    ++losses[lost.index];
+  }
+  return std::any_of(losses.begin(), losses.end(), [](const auto& task) {
+    return task.second >= kMaxCrashes.front();
+  });
+}
+
 bool IsBlamed(const work_unit& unit) {
   return std::any_of(unit.crashes.begin(), unit.crashes.end(),
                      [](const task_crashes& task) { return task.blamed > 0; });
@@ -101,23 +118,100 @@
       silent.push_back(&minion);
     }
   }
-  if (silent.empty()) {
+  if (silent.empty() && unresolved_units_.empty()) {
     return;
   }
-  std::map<std::string, std::int64_t> latest_by_address;
+  incarnations_by_address latest;
   for (const auto& [id, minion] : minions_) {
     if (minion.is_responsive) {
-      std::int64_t& latest = latest_by_address[minion.report.address];
-      latest = std::max(latest, minion.report.incarnation_unix_ms);
+      std::int64_t& incarnation = latest[minion.report.address];
+      incarnation = std::max(incarnation, minion.report.incarnation_unix_ms);
     }
   }
   for (minion_entry* minion : silent) {
-    const auto latest = latest_by_address.find(minion->report.address);
-    if (latest != latest_by_address.end() &&
-        latest->second > minion->report.incarnation_unix_ms) {
+    const auto next = latest.find(minion->report.address);
+    if (next != latest.end() &&
+        next->second > minion->report.incarnation_unix_ms) {
       EndLife(now, *minion);
     }
   }
+  ResolveLosses(now, latest);
+}
+
+// Keeps a run whose lease has expired in mind, since a later incarnation may
+// still show that its minion had crashed.
+void work_core::impl::KeepUnresolved(instant now,
+                                     const member_ref& ref,
+                                     crash_role role) {
+  const crash_evidence lost = EvidenceOf(now, ref, role);
+  ref.unit->unresolved.push_back(lost);
+  if (role != crash_role::kNone && role != crash_role::kBystander &&
+      !IsSettled(*ref.unit, *ref.member)) {
+    ref.unit->is_suspect = true;
+  }
+  unresolved_units_.insert({ref.job, ref.unit});
+  MarkChanged(*ref.job);
+}
+
+void work_core::impl::RestoreUnresolved(job_entry& job,
+                                        work_unit& unit,
+                                        const recorded_unit& recorded) {
+  for (const recorded_member& lost : recorded.unresolved) {
+    unit.unresolved.push_back(
+        {lost.index,
+         {lost.minion, lost.incarnation_unix_ms, lost.address},
+         crash_role::kSuspect,
+         duration(0),
+         true,
+         tenure_began_at_});
+    unresolved_units_.insert({&job, &unit});
+  }
+}
+
+// Returns whether the lost incarnation has crashed, or was only unreachable;
+// empty if neither is known.
+std::optional<bool> work_core::impl::HasCrashed(
+    const minion_incarnation& lost,
+    const incarnations_by_address& latest) const {
+  const auto same_id = minions_.find(lost.id);
+  if (same_id != minions_.end() && same_id->second.is_responsive) {
+    return same_id->second.report.incarnation_unix_ms >
+           lost.incarnation_unix_ms;
+  }
+  const auto next = latest.find(lost.address);
+  if (next != latest.end() && next->second > lost.incarnation_unix_ms) {
+    return true;
+  }
+  return std::nullopt;
+}
+
+void work_core::impl::ResolveLosses(instant now,
+                                    const incarnations_by_address& latest) {
+  const std::vector<unit_ref> unresolved(unresolved_units_.begin(),
+                                         unresolved_units_.end());
+  for (const unit_ref& ref : unresolved) {
+    for (const crash_evidence& lost : std::exchange(ref.unit->unresolved, {})) {
+      const std::optional<bool> has_crashed = HasCrashed(lost.minion, latest);
+      if (!has_crashed && now - lost.lost_at < kMaxUnresolvedTime) {
+        ref.unit->unresolved.push_back(lost);
+        continue;
+      }
+      if (!has_crashed) {
+        counters_.Add("sched_losses_unresolved");
+        MarkChanged(*ref.job);
+        continue;
+      }
+      counters_.Add(*has_crashed ? "sched_losses_crashed"
+                                 : "sched_losses_unreachable");
+      MarkChanged(*ref.job);
+      if (*has_crashed) {
+        CountCrash(now, *ref.job, *ref.unit, lost);
+      }
+    }
+    if (ref.unit->unresolved.empty()) {
+      unresolved_units_.erase(ref);
+    }
+  }
 }
 
 void work_core::impl::RecordSilence(instant now, minion_entry& minion) {
@@ -177,46 +271,65 @@
   return roles;
 }
 
-// Counts the crash of a member's minion against its task. The count goes into
-// the record that names the minions of the next run. Gives the job up when a
-// task has reached its limit.
+crash_evidence work_core::impl::EvidenceOf(instant now,
+                                           const member_ref& ref,
+                                           crash_role role) {
+  return {ref.member->index,       ref.member->incarnation,      role,
+          TimeAtWork(*ref.member), ref.member->starts_sent == 0, now};
+}
+
 void work_core::impl::CountCrash(instant now,
                                  const member_ref& ref,
                                  std::optional<crash_role> role) {
-  work_unit& unit = *ref.unit;
-  if (!role || unit.is_done || ref.job->IsEnded()) {
+  if (role) {
+    CountCrash(now, *ref.job, *ref.unit, EvidenceOf(now, ref, *role));
+  }
+}
+
+// Counts the crash of a minion against a task that ran there. The count goes
+// into the record that names the minions of the next run. Gives the job up when
+// the task has reached its limit.
+void work_core::impl::CountCrash(instant now,
+                                 job_entry& job,
+                                 work_unit& unit,
+                                 const crash_evidence& lost) {
+  if (unit.is_done || job.IsEnded()) {
     return;
   }
-  const bool has_settled = IsSettled(unit, *ref.member);
-  if (*role != crash_role::kNone) {
-    unit.is_suspect = !unit.crashes.empty() ||
-                      (*role != crash_role::kBystander && !has_settled);
+  const bool has_crashed_before = !unit.crashes.empty();
+  if (lost.role != crash_role::kNone) {
+    unit.is_suspect = unit.is_suspect || has_crashed_before ||
+                      (lost.role != crash_role::kBystander &&
+                       lost.time_at_work < SettleTimeOf(unit));
   }
-  task_crashes& task = CrashesOf(unit, ref.member->index);
+  task_crashes& task = CrashesOf(unit, lost.index);
   ++task.crashes;
-  task.blamed += *role == crash_role::kSoleSuspect &&
-                         TimeAtWork(*ref.member) < kSettleTimes.front()
-                     ? 1
-                     : 0;
+  // How long an inherited run had been at work is not known.
+  const bool is_to_blame = lost.role == crash_role::kSoleSuspect &&
+                           lost.time_at_work < kSettleTimes.front() &&
+                           (has_crashed_before || !lost.is_inherited);
+  task.blamed += is_to_blame ? 1 : 0;
   counters_.Add("sched_crashes");
   const std::string figures = "crashes " + std::to_string(task.crashes) +
                               ", blamed for " + std::to_string(task.blamed);
-  LogEvent("crash_counted", ref.job->accepted.id,
-           FormatRun(KeyOf(*ref.job, unit, *ref.member)),
-           ref.member->incarnation.id,
-           std::string(GetName(*role)) + ", " + figures);
-  MarkChanged(*ref.job);
+  LogEvent("crash_counted", job.accepted.id,
+           std::to_string(unit.occurrence) + "." + std::to_string(unit.step) +
+               "." + std::to_string(lost.index),
+           lost.minion.id, std::string(GetName(lost.role)) + ", " + figures);
+  MarkChanged(job);
   const auto blamed = static_cast<std::size_t>(task.blamed);
   if (task.crashes >=
       kMaxCrashes.at(std::min(blamed, kMaxCrashes.size() - 1))) {
     counters_.Add("sched_given_up_after_crashes");
-    FailJob(now, *ref.job, unit, "minions crashed under a task: " + figures);
+    FailJob(now, job, unit, "minions crashed under a task: " + figures);
   }
 }
 
 void work_core::impl::ForgiveCrashes(const member_ref& ref) {
   if (!ref.unit->crashes.empty() && TimeAtWork(*ref.member) >= kForgiveTime) {
     ref.unit->crashes.clear();
+    ref.unit->unresolved.clear();
+    unresolved_units_.erase({ref.job, ref.unit});
     ref.unit->is_suspect = false;
     MarkChanged(*ref.job);
   }
@@ -250,23 +363,11 @@
   }
 }
 
-// Whether isolated runs may hold as many minions more as the unit needs. A gang
-// that is wider than their share is isolated alone.
-bool work_core::impl::CanIsolate(const work_unit& unit,
-                                 const fleet_view& fleet) const {
-  const auto held = static_cast<std::size_t>(isolating_minions_);
-  const auto width = static_cast<std::size_t>(unit.width);
-  return held == 0 ||
-         held + width <= fleet.Minions().size() / kMaxIsolatingShare;
-}
-
-// Whether the unit's next run keeps others off its minions. In a fleet of few
-// minions that would hold up everything.
-bool work_core::impl::IsIsolated(const job_entry& job,
-                                 const work_unit& unit) const {
-  const auto fleet = fleets_.find(ServiceOf(job));
-  return unit.is_suspect && fleet != fleets_.end() &&
-         fleet->second.Minions().size() >= kMaxIsolatingShare;
+// Whether the next run of a suspect keeps others off its minions. Isolated runs
+// hold a part of the fleet only, and none of a fleet of few minions.
+bool work_core::impl::CanIsolate(const fleet_view& fleet) const {
+  return static_cast<std::size_t>(isolating_minions_) <
+         fleet.Minions().size() / kMaxIsolatingShare;
 }
 
 bool work_core::impl::HasUnsettledRuns(const minion_entry& minion) {
@@ -276,13 +377,11 @@
       });
 }
 
-// Returns the minions on which the unit's run can be isolated: idle ones or,
-// unless `is_idle_only`, those with settled runs only, so that a crash is due
-// to the unit.
+// Returns the usable minions on which a suspect may be placed.
 fleet_view work_core::impl::IsolatedView(instant now,
                                          const unit_ref& unit,
                                          const std::vector<minion_view>& views,
-                                         bool is_idle_only) const {
+                                         isolation_place place) const {
   const bool can_use_avoided = CanUseAvoidedMinions(now, unit);
   std::vector<minion_view> chosen;
   for (const minion_view& view : views) {
@@ -291,7 +390,9 @@
         view.is_usable ||
         (can_use_avoided && HealthOf(now, minion) == kAvoided);
     const bool is_free =
-        is_idle_only ? minion.members.empty() : !HasUnsettledRuns(minion);
+        place == isolation_place::kIdle
+            ? minion.members.empty()
+            : place == isolation_place::kAny || !HasUnsettledRuns(minion);
     if (is_usable && is_free) {
       chosen.push_back(view);
       chosen.back().is_usable = true;
@@ -302,31 +403,35 @@
 }
 
 // Places a unit under which a minion may have crashed. A deadly one costs least
-// on an idle minion; a sound one should not wait long for that.
+// on an idle minion; a sound one should not wait long for that, nor longer than
+// its job may stand still for settled neighbours.
 bool work_core::impl::TryPlaceIsolated(instant now,
                                        job_entry& job,
                                        work_unit& unit) {
+  if (MustAwaitResolution(unit)) {
+    counters_.Add("sched_suspect_awaits_resolution");
+    return false;
+  }
   const fleet_view& fleet = fleets_.at(ServiceOf(job));
-  if (!CanIsolate(unit, fleet)) {
+  if (isolating_minions_ > 0 && !CanIsolate(fleet)) {
     counters_.Add("sched_isolation_limit_reached");
     return false;
   }
   const std::vector<minion_view> views =
       NeedsAdvice(job) ? AdvisedViews(now, job, unit, fleet.Minions())
                        : fleet.Minions();
-  fleet_view idle = IsolatedView(now, {&job, &unit}, views, true);
-  if (TryPlaceAmong(now, job, unit, idle)) {
-    counters_.Add("sched_isolated_on_idle");
-    return true;
-  }
   const duration wait =
       IsBlamed(unit) ? kIdleMinionWaitIfBlamed : kIdleMinionWait;
-  if (now - unit.waiting_since >= wait) {
-    fleet_view settled = IsolatedView(now, {&job, &unit}, views, false);
-    if (TryPlaceAmong(now, job, unit, settled)) {
-      counters_.Add("sched_isolated_beside_settled");
-      return true;
-    }
+  const auto try_among = [&](isolation_place place, std::string_view counter) {
+    fleet_view chosen = IsolatedView(now, {&job, &unit}, views, place);
+    const bool is_placed = TryPlaceAmong(now, job, unit, chosen);
+    counters_.Add(std::string(counter), is_placed ? 1 : 0);
+    return is_placed;
+  };
+  if (try_among(isolation_place::kIdle, "sched_isolated_on_idle") ||
+      (now - unit.waiting_since >= wait &&
+       try_among(isolation_place::kSettled, "sched_isolated_beside_settled"))) {
+    return true;
   }
   if (NeedsAdvice(job)) {
     RequestAdvice(now, job, unit, fleet.Minions());
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -228,18 +228,32 @@
   void RecordSilence(instant now, minion_entry& minion);
   bool HasCommonCause(const minion_entry& minion) const;
   std::map<run_key, crash_role> RolesInCrash(const minion_entry& minion) const;
+  static crash_evidence EvidenceOf(instant now,
+                                   const member_ref& ref,
+                                   crash_role role);
+  void CountCrash(instant now,
+                  job_entry& job,
+                  work_unit& unit,
+                  const crash_evidence& lost);
   void CountCrash(instant now,
                   const member_ref& ref,
                   std::optional<crash_role> role);
+  void RestoreUnresolved(job_entry& job,
+                         work_unit& unit,
+                         const recorded_unit& recorded);
+  void KeepUnresolved(instant now, const member_ref& ref, crash_role role);
+  using incarnations_by_address = std::map<std::string, std::int64_t>;
+  std::optional<bool> HasCrashed(const minion_incarnation& lost,
+                                 const incarnations_by_address& latest) const;
+  void ResolveLosses(instant now, const incarnations_by_address& latest);
   void ForgiveCrashes(const member_ref& ref);
   void EndIsolationIfSettled(work_unit& unit);
-  bool CanIsolate(const work_unit& unit, const fleet_view& fleet) const;
-  bool IsIsolated(const job_entry& job, const work_unit& unit) const;
+  bool CanIsolate(const fleet_view& fleet) const;
   static bool HasUnsettledRuns(const minion_entry& minion);
   fleet_view IsolatedView(instant now,
                           const unit_ref& unit,
                           const std::vector<minion_view>& views,
-                          bool is_idle_only) const;
+                          isolation_place place) const;
   bool TryPlaceIsolated(instant now, job_entry& job, work_unit& unit);
 
   // work_placing.cc
@@ -392,6 +406,7 @@
   std::set<unit_ref> recorded_units_;
   std::set<unit_ref> closing_units_;
   std::set<unit_ref> unconfirmed_units_;  // With an unanswered start.
+  std::set<unit_ref> unresolved_units_;   // With `unresolved` runs.
   // Jobs with waiting units, by priority, then by acceptance.
   std::map<std::tuple<int, std::uint64_t, std::string>, job_entry*>
       waiting_jobs_;
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -390,9 +390,15 @@
   const auto select_all = [](const run_key&, const member_ref&) {
     return true;
   };
+  const bool has_left = minion.report.is_draining || minion.is_cordoned;
+  const std::map<run_key, crash_role> roles = RolesInCrash(minion);
   for (const run_key& run : RunsWhere(minion, select_all)) {
     const member_ref ref = FindMember(run, minion.report.id);
     if (ref.member != nullptr) {
+      const auto role = roles.find(run);
+      if (!has_left && role != roles.end()) {
+        KeepUnresolved(now, ref, role->second);
+      }
       HandleTerminatedMember(now, ref, close_cause::kLeaseExpired);
     }
   }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -385,7 +385,7 @@
                               const std::vector<minion_view>& views) {
   ++unit.run;
   unit.has_run_failed = false;
-  unit.is_isolated = IsIsolated(job, unit);
+  unit.is_isolated = unit.is_suspect && CanIsolate(fleets_.at(ServiceOf(job)));
   unit.claimed_at = now;
   unit.members.clear();
   unit.members.reserve(minion_indices.size());
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -17,22 +17,38 @@
 // jobs.
 constexpr duration kRecordInterval = std::chrono::milliseconds(80);
 
+recorded_member ToRecorded(int index, const minion_incarnation& minion) {
+  return {index, minion.id, minion.incarnation_unix_ms, minion.address};
+}
+
 job_record RecordOf(const job_entry& job) {
   job_record record;
   record.state = job.state;
+  std::size_t unresolved = 0;
   for (const work_unit& unit : job.units) {
     if (unit.run == 0 && !unit.is_done) {
       continue;
     }
-    recorded_unit recorded{
-        unit.occurrence,     unit.step,    unit.index,      unit.run,
-        unit.failed_runs,    unit.is_done, unit.checkpoint, {},
-        unit.has_run_failed, unit.crashes};
+    recorded_unit recorded{unit.occurrence,
+                           unit.step,
+                           unit.index,
+                           unit.run,
+                           unit.failed_runs,
+                           unit.is_done,
+                           unit.checkpoint,
+                           {},
+                           unit.has_run_failed,
+                           unit.crashes,
+                           {}};
+    for (const crash_evidence& lost : unit.unresolved) {
+      if (++unresolved <= kMaxUnresolvedMembers) {
+        recorded.unresolved.push_back(ToRecorded(lost.index, lost.minion));
+      }
+    }
     for (const unit_member& member : unit.members) {
       if (member.phase != member_phase::kTerminated) {
-        recorded.members.push_back({member.index, member.incarnation.id,
-                                    member.incarnation.incarnation_unix_ms,
-                                    member.incarnation.address});
+        recorded.members.push_back(
+            ToRecorded(member.index, member.incarnation));
       }
     }
     record.units.push_back(std::move(recorded));
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -71,6 +71,23 @@
   std::optional<crash_role> role_in_restart;
 };
 
+/// What is known of a run whose minion is lost.
+struct crash_evidence {
+  int index = 0;  ///< Index of the task in its step.
+  minion_incarnation minion;
+  crash_role role = crash_role::kSuspect;
+  duration time_at_work{0};   ///< As far as the minion listed the run.
+  bool is_inherited = false;  ///< An earlier owner started it.
+  instant lost_at;            ///< When its minion was known to be lost.
+};
+
+/// Minions on which a suspect may be placed.
+enum class isolation_place : std::uint8_t {
+  kIdle,     ///< Those without runs.
+  kSettled,  ///< Those on which all runs have settled.
+  kAny,
+};
+
 /// State of a unit.
 enum class unit_phase : std::uint8_t {
   kWaiting,   ///< Not placed.
@@ -95,6 +112,9 @@
   bool is_done = false;
   bool has_run_failed = false;        ///< The current run is in `failed_runs`.
   std::vector<task_crashes> crashes;  ///< Of its tasks that met any.
+  /// Runs whose lease has expired and whose minion may have crashed or is cut
+  /// off.
+  std::vector<crash_evidence> unresolved;
   /// It may crash the minions of its next run, which has to be isolated:
   /// nothing else is started beside it until it has settled.
   bool is_suspect = false;
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
@@ -32,6 +33,7 @@
   fake_fleet fleet({});
   fleet.keeps_id_after_crash = GENERATE(false, true);
   fleet.crash_delay = GENERATE(10ms, 3s);
+  fleet.crash_downtime = GENERATE(3s, 9s);
   MakeDeadly(fleet, "deadly");
   accepted_job job = OneStep("deadly", 1, 1, kSmall, 5s);
 
--- a/tests/job_record_test.cc
+++ b/tests/job_record_test.cc
@@ -14,6 +14,7 @@
   record.state = job_state::kRunning;
   recorded_unit unit{1, 2, 3, 4, 1, false, "00000bb87a21d94b", {}, true};
   unit.crashes = {{3, 2, 1}};
+  unit.unresolved = {{3, "i-0", 1'787'689'055'000, "10.0.0.2:80"}};
   unit.members.push_back({3, "i-25a72096d5", 1'787'689'055'116, "10.0.0.1:80"});
   record.units.push_back(unit);
 
@@ -33,6 +34,9 @@
     CHECK(restored.crashes[0].index == 3);
     CHECK(restored.crashes[0].crashes == 2);
     CHECK(restored.crashes[0].blamed == 1);
+    REQUIRE(restored.unresolved.size() == 1);
+    CHECK(restored.unresolved[0].minion == "i-0");
+    CHECK(restored.unresolved[0].address == "10.0.0.2:80");
   }
   SECTION("and rows of earlier builds have no addresses") {
     const auto decoded =
@@ -49,6 +53,9 @@
       wide.crashes = {{9999, 4, 4}};
       wide.members.push_back(
           {9999, "i-25a72096d5", 1'787'689'055'116, "255.255.255.255:65535"});
+      if (index < static_cast<int>(kMaxUnresolvedMembers)) {
+        wide.unresolved = wide.members;
+      }
       record.units.push_back(wide);
     }
     CHECK(EncodeRecord(record).size() <= kMaxRowBytes);
