Place a suspect like any other unit once it has waited for 2.5 s

Cause: a suspect waited without end for minions whose runs have all settled, of which a gang needs several at once, and while other suspects were isolated, a wide gang never fitted into their share of the fleet.

Evidence: "A suspect does not wait long for isolation" failed before and passes now with all 357 assertions of crash_test.

--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -42,6 +42,8 @@
 // whether it was the sole suspect of a crash.
 constexpr duration kIdleMinionWait = std::chrono::milliseconds(300);
 constexpr duration kIdleMinionWaitIfBlamed = std::chrono::seconds(2);
+// Wait after which a suspect is placed like any other unit.
+constexpr duration kMaxIsolationWait = std::chrono::milliseconds(2500);
 
 // Whether a start of the member may have been executed.
 bool MayHaveStarted(const unit_member& member) {
@@ -413,7 +415,8 @@
     return false;
   }
   const fleet_view& fleet = fleets_.at(ServiceOf(job));
-  if (isolating_minions_ > 0 && !CanIsolate(fleet)) {
+  const bool is_overdue = now - unit.waiting_since >= kMaxIsolationWait;
+  if (!is_overdue && isolating_minions_ > 0 && !CanIsolate(fleet)) {
     counters_.Add("sched_isolation_limit_reached");
     return false;
   }
@@ -430,7 +433,9 @@
   };
   if (try_among(isolation_place::kIdle, "sched_isolated_on_idle") ||
       (now - unit.waiting_since >= wait &&
-       try_among(isolation_place::kSettled, "sched_isolated_beside_settled"))) {
+       try_among(isolation_place::kSettled, "sched_isolated_beside_settled")) ||
+      (is_overdue &&
+       try_among(isolation_place::kAny, "sched_isolation_overdue"))) {
     return true;
   }
   if (NeedsAdvice(job)) {
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -151,6 +151,40 @@
   CheckNoViolations(fleet);
 }
 
+// Guards against sound tasks that stand still, because no minion is quiet
+// enough to isolate them.
+TEST_CASE("A suspect does not wait long for isolation") {
+  fake_fleet fleet({});
+  accepted_job gang = OneStep("sound", 1, 3, {2'000, 2'000, 1}, 20s);
+  gang.spec.steps[0].is_gang = true;
+  gang.spec.steps[0].max_per_minion = 1;
+  fleet.Submit(gang);
+  int submitted = 0;
+  const auto keep_busy = [&](duration length) {
+    for (duration passed{0}; passed < length; passed += 250ms) {
+      fleet.Submit(OneStep("busy" + std::to_string(submitted++), 1, 10,
+                           {40'000, 80'000, 2}, 1s));
+      fleet.Run(250ms);
+    }
+  };
+  keep_busy(1s);
+  for (const auto& [id, minion] : fleet.minions) {
+    const auto holds_sound = [](const auto& item) {
+      return item.first.task.job == "sound";
+    };
+    if (std::any_of(minion.running.begin(), minion.running.end(),
+                    holds_sound)) {
+      fleet.CrashMinion(id);
+      break;
+    }
+  }
+  keep_busy(3500ms);
+  REQUIRE(fleet.counters.Get("sched_crashes") > 0);
+  keep_busy(3500ms);
+  CHECK(fleet.starts["sound"] == 6);
+  CheckNoViolations(fleet);
+}
+
 TEST_CASE("Suspects leave most of the fleet to sound tasks") {
   fake_fleet::options options;
   options.minions = 16;
