Isolate a suspect no more once it has settled

Cause: a task that had met a crash just after its start stayed a suspect until it was done: each later run of it, after an eviction or a drain, waited for an idle minion again and kept others off it.

Change: a suspect whose isolated run has settled is none any more. The crashes stay counted, and a further crash makes it a suspect again.

--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -346,7 +346,7 @@
 }
 
 // Opens the minions of an isolated run to others once all its members have
-// settled.
+// settled. A task that crashes its minion upon each start would have done so.
 void work_core::impl::EndIsolationIfSettled(work_unit& unit) {
   const bool is_settled = std::all_of(
       unit.members.begin(), unit.members.end(),
@@ -355,6 +355,7 @@
     return;
   }
   unit.is_isolated = false;
+  unit.is_suspect = false;
   should_place_ = true;
   for (const unit_member& member : unit.members) {
     if (member.phase != member_phase::kTerminated) {
--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -488,5 +488,33 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE("A suspect that has settled is isolated no more") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("sound", 1, 1, kSmall, 30s));
+  fleet.Run(1s);
+  const auto count_isolating = [&] {
+    const auto minions = fleet.core->Minions();
+    return std::count_if(minions.begin(), minions.end(),
+                         [](const minion_status& minion) {
+                           return minion.health == "isolates a suspect";
+                         });
+  };
+  for (const auto& [id, minion] : fleet.minions) {
+    if (!minion.running.empty()) {
+      fleet.CrashMinion(id);
+      break;
+    }
+  }
+  fleet.Run(4500ms);
+  REQUIRE(fleet.starts["sound"] == 2);
+  CHECK(count_isolating() == 1);
+  fleet.Run(3s);
+  CHECK(count_isolating() == 0);
+  fleet.EndRuns("sound", run_end::kStopped);
+  fleet.Run(500ms);
+  CHECK(fleet.starts["sound"] == 3);
+  CHECK(count_isolating() == 0);
+}
+
 }  // namespace
 }  // namespace sassafras::sched
