Drop unresolved runs of jobs that have ended

Cause: an unresolved run of a job that had ended was kept for a minute and its record written again when it was resolved; the rows may be erased meanwhile.

Change: ended jobs and done units keep no unresolved runs. The members of a run are looked at for the end of its isolation only if it is isolated.

--- a/src/sched/work_crashes.cc
+++ b/src/sched/work_crashes.cc
@@ -145,8 +145,10 @@
 void work_core::impl::KeepUnresolved(instant now,
                                      const member_ref& ref,
                                      crash_role role) {
-  const crash_evidence lost = EvidenceOf(now, ref, role);
-  ref.unit->unresolved.push_back(lost);
+  if (ref.unit->is_done || ref.job->IsEnded()) {
+    return;
+  }
+  ref.unit->unresolved.push_back(EvidenceOf(now, ref, role));
   if (role != crash_role::kNone && role != crash_role::kBystander &&
       !IsSettled(*ref.unit, *ref.member)) {
     ref.unit->is_suspect = true;
@@ -192,6 +194,11 @@
   const std::vector<unit_ref> unresolved(unresolved_units_.begin(),
                                          unresolved_units_.end());
   for (const unit_ref& ref : unresolved) {
+    if (ref.unit->is_done || ref.job->IsEnded()) {
+      ref.unit->unresolved.clear();
+      unresolved_units_.erase(ref);
+      continue;
+    }
     for (const crash_evidence& lost : std::exchange(ref.unit->unresolved, {})) {
       const std::optional<bool> has_crashed = HasCrashed(lost.minion, latest);
       if (!has_crashed && now - lost.lost_at < kMaxUnresolvedTime) {
@@ -348,10 +355,11 @@
 // Opens the minions of an isolated run to others once all its members have
 // settled. A task that crashes its minion upon each start would have done so.
 void work_core::impl::EndIsolationIfSettled(work_unit& unit) {
-  const bool is_settled = std::all_of(
-      unit.members.begin(), unit.members.end(),
-      [&](const unit_member& member) { return IsSettled(unit, member); });
-  if (!unit.is_isolated || !is_settled) {
+  const auto is_settled = [&unit](const unit_member& member) {
+    return IsSettled(unit, member);
+  };
+  if (!unit.is_isolated ||
+      !std::all_of(unit.members.begin(), unit.members.end(), is_settled)) {
     return;
   }
   unit.is_isolated = false;
