Test that a refusal for want of room is neither a failure nor a crash

The minions of the tests may guard their capacity. A job with one attempt whose starts are refused, because its minion shrank a moment ago, completes; nothing counts as a failure or a crash.

--- a/tests/crash_test.cc
+++ b/tests/crash_test.cc
@@ -388,6 +388,24 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE("A start that a minion refuses for want of room is no failure") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  fleet.guards_capacity = true;
+  fleet.Run(520ms);  // The list was read a moment ago.
+  fleet.SetCapacity(fleet.minions.begin()->first, {64'000, 131'072, 4});
+  accepted_job job = OneStep("a", 1, 8, kSmall, 500ms);
+  job.max_attempts = 1;
+  fleet.Submit(job);
+  REQUIRE(fleet.RunUntilEnded(20s));
+  CHECK(fleet.StateOf("a") == job_state::kComplete);
+  CHECK(fleet.counters.Get("sched_start_no_room") > 0);
+  CHECK(fleet.counters.Get("sched_crashes") == 0);
+  CHECK(fleet.starts["a"] == 8);
+  CheckNoViolations(fleet);
+}
+
 // Guards against a task that runs twice, because a second copy of its start is
 // executed by the next incarnation of a minion that crashed under the first.
 TEST_CASE("A start that was sent twice is stopped where its minion restarted") {
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -238,6 +238,7 @@
   duration crash_delay = std::chrono::milliseconds(10);  ///< After a start.
   duration crash_downtime = std::chrono::seconds(3);
   bool keeps_id_after_crash = false;
+  bool guards_capacity = false;  ///< Minions refuse starts that do not fit.
   int late_starts = 0;  ///< Number of starts that will be executed late.
   int crash_count = 0;
   std::map<task_key, int> crashes;  ///< Crashes by the task at fault.
@@ -467,6 +468,11 @@
         order.run.run <= highest_ended_run->second) {
       return order_outcome::kStaleRun;
     }
+    const step_spec& step = StepOf(order.run);
+    if (guards_capacity &&
+        !minion.report.capacity.Holds(UsedOn(minion) + step.needs)) {
+      return order_outcome::kInsufficientResources;
+    }
     CheckStart(minion, order);
     if (config_->queues[1].advice &&
         jobs.at(order.run.task.job).priority == 1 &&
@@ -474,8 +480,6 @@
          order.ticket != "ticket for " + minion.report.id)) {
       violations.push_back("started without a ticket on " + minion.report.id);
     }
-    const step_spec& step =
-        jobs.at(order.run.task.job).spec.steps.at(order.run.task.step);
     minion.running[order.run] = {order.payload, step.estimate, now, false, {}};
     ++starts[order.run.task.job];
     CheckRoom(minion);
