Log runs that outlive their stop, and runs of ended jobs that owners restore

Cause: the log could not tell why a run of a cancelled job goes on. A new owner said nothing about the runs of ended jobs that it met, a stop that took no effect was sent on in silence, and orphan_stopped did not name the state of its job. Change: ended_job_restored, stop_overdue (once per run, 2 s after the stop is due) and the state of the job in orphan_stopped; counters sched_restored_runs_of_ended_jobs and sched_stops_overdue. No decision is changed.

--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -55,6 +55,7 @@
     Restore(entry, *record);
     if (entry.IsEnded()) {
       entry.ended_at = now;
+      LogEndedJobWithRuns(entry);
     }
     CloseNeedlessRuns(now, entry);
   } else {
@@ -63,6 +64,21 @@
   should_place_ = true;
 }
 
+// Logs a restored job that has ended and whose record names runs. The former
+// owner did not know that they were over.
+void work_core::impl::LogEndedJobWithRuns(const job_entry& entry) {
+  std::size_t runs = 0;
+  for (const work_unit& unit : entry.units) {
+    runs += unit.members.size();
+  }
+  if (runs > 0) {
+    counters_.Add("sched_restored_runs_of_ended_jobs", runs);
+    LogEvent("ended_job_restored", entry.accepted.id, "", "",
+             std::string(GetName(entry.state)) + " with runs " +
+                 std::to_string(runs));
+  }
+}
+
 void work_core::impl::AddUnits(job_entry& entry, instant now) {
   const job_spec& spec = entry.accepted.spec;
   for (int occurrence = 0; occurrence < std::max(1, spec.occurrences);
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -121,6 +121,7 @@
 
   // work_core.cc
   void AddUnits(job_entry& entry, instant now);
+  void LogEndedJobWithRuns(const job_entry& entry);
   void Restore(job_entry& entry, const job_record& record);
   void RestoreMembers(job_entry& entry,
                       work_unit& unit,
@@ -165,6 +166,7 @@
   void CloseNeedlessRuns(instant now, job_entry& job);
   void ReleaseMember(job_entry& job, work_unit& unit, unit_member& member);
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
+  void LogIfStopOverdue(instant now, const member_ref& ref);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
                             run_end how);
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -341,8 +341,11 @@
 void work_core::impl::StopOrphan(const minion_entry& minion,
                                  const listed_run& run) {
   counters_.Add("sched_orphans_stopped");
+  const auto job = jobs_.find(run.run.task.job);
   LogEvent("orphan_stopped", run.run.task.job, FormatRun(run.run),
-           minion.report.id, "");
+           minion.report.id,
+           std::string(job == jobs_.end() ? "unknown job"
+                                          : GetName(job->second.state)));
   actions_.stops.push_back(
       {{minion.report.id, minion.report.incarnation_unix_ms,
         minion.report.address},
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -20,6 +20,9 @@
 // Members of a gang that is done end by themselves. They are stopped only if
 // their end is not listed within this time, which spans two regular polls.
 constexpr duration kDoneStopDelay = std::chrono::seconds(3);
+// Time after which a run that is still being stopped is logged. Stops take less
+// than a second.
+constexpr duration kOverdueStopTime = std::chrono::seconds(2);
 // Delay before a unit whose start was refused is placed again.
 constexpr duration kRefusedStartDelay = std::chrono::milliseconds(200);
 
@@ -63,6 +66,13 @@
   return text;
 }
 
+// Stops are sent to the member from `due` on.
+void BeginStopping(unit_member& member, instant due) {
+  member.phase = member_phase::kStopping;
+  member.next_send = due;
+  member.stopping_since = due;
+}
+
 // Keeps the newer of two checkpoints of one unit. The platform's checkpoints
 // begin with the amount of work in fixed width, so that they compare as
 // strings. Either is valid to resume from.
@@ -265,7 +275,7 @@
   }
   // An earlier copy of this start may still be executed.
   if (ref.member->starts_sent > 1) {
-    ref.member->phase = member_phase::kStopping;
+    BeginStopping(*ref.member, now);
     CloseRun(now, *ref.job, *ref.unit, close_cause::kRefused, GetName(outcome));
     return;
   }
@@ -317,8 +327,7 @@
     if (member.phase == member_phase::kPlanned) {
       ReleaseMember(job, unit, member);
     } else if (MayStillRun(member) && member.phase != member_phase::kStopping) {
-      member.phase = member_phase::kStopping;
-      member.next_send = unit.is_done ? now + kDoneStopDelay : now;
+      BeginStopping(member, unit.is_done ? now + kDoneStopDelay : now);
       MarkDirty(MinionOf(member.incarnation.id));
     }
   }
@@ -534,6 +543,7 @@
 void work_core::impl::EmitStops(instant now) {
   for (const unit_ref& ref : closing_units_) {
     for (unit_member& member : ref.unit->members) {
+      LogIfStopOverdue(now, {ref.job, ref.unit, &member});
       const bool is_due = member.phase == member_phase::kStopping &&
                           !member.is_stop_acknowledged &&
                           !member.incarnation.address.empty() &&
@@ -548,6 +558,25 @@
   }
 }
 
+// Logs, once, a run that outlives its stop.
+void work_core::impl::LogIfStopOverdue(instant now, const member_ref& ref) {
+  unit_member& member = *ref.member;
+  if (member.phase != member_phase::kStopping || member.is_stop_overdue ||
+      now < member.stopping_since + kOverdueStopTime) {
+    return;
+  }
+  member.is_stop_overdue = true;
+  counters_.Add("sched_stops_overdue");
+  const minion_entry& minion = MinionOf(member.incarnation.id);
+  LogEvent("stop_overdue", ref.job->accepted.id,
+           FormatRun(KeyOf(*ref.job, *ref.unit, member)), minion.report.id,
+           std::string(GetName(ref.job->state)) +
+               (member.is_stop_acknowledged ? ", stop acknowledged"
+                                            : ", stop not acknowledged") +
+               (minion.is_responsive ? ", minion answers" : ", minion silent") +
+               DescribeMember(now, member));
+}
+
 void work_core::impl::HandleStopAnswer(instant now,
                                        const stop_order& order,
                                        order_outcome outcome) {
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -60,10 +60,12 @@
   member_phase phase = member_phase::kPlanned;
   int starts_sent = 0;              ///< Number of starts sent.
   bool is_order_in_flight = false;  ///< A start is not answered yet.
-  instant next_send;        ///< Earliest time of the next start or stop.
-  instant confirmed_at;     ///< Time of the confirmation, if kRunning.
-  bool was_listed = false;  ///< Listed as running by the `incarnation`.
-  instant listed_at;        ///< When it was last listed, if it was.
+  instant next_send;             ///< Earliest time of the next start or stop.
+  instant confirmed_at;          ///< Time of the confirmation, if kRunning.
+  bool was_listed = false;       ///< Listed as running by the `incarnation`.
+  instant listed_at;             ///< When it was last listed, if it was.
+  instant stopping_since;        ///< When it became due to stop, if kStopping.
+  bool is_stop_overdue = false;  ///< Logged as such.
   bool is_stop_acknowledged = false;
   instant stop_acknowledged_at;  ///< Time of the last answer to a stop.
   int percent = 0;               ///< Progress in the last answered poll.
