--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -74,6 +74,7 @@
   /// Replaces the owner by a new one that knows only the rows of the table.
   void ReplaceOwner() {
     ++fence_;
+    disturbed_at_ = now;
     work_options bounds;
     bounds.max_lease = kLease;
     bounds.max_long_polls = options_.max_long_polls;
@@ -103,6 +104,7 @@
 
   void Cancel(const std::string& id) {
     cancelled.insert(id);
+    cancelled_at_.emplace(id, now);
     core->OnCancel(now, id, kCancelVersion);
   }
 
@@ -168,6 +170,7 @@
       }
       Decide();
       CheckCapacity();
+      CheckCancelled();
     }
   }
 
@@ -207,6 +210,10 @@
   static constexpr std::uint64_t kCancelVersion = 77;
   static constexpr duration kStep = std::chrono::milliseconds(5);
   static constexpr duration kShrinkNotice = std::chrono::milliseconds(4500);
+  /// Time after a cancelling, a late start or a disruption within which a run
+  /// of the cancelled job is stopped, and how long the stop may take.
+  static constexpr duration kCancelTime = std::chrono::seconds(3);
+  static constexpr duration kStopTime = std::chrono::milliseconds(200);
 
   instant now;
   counter_table counters;
@@ -240,6 +247,7 @@
   bool keeps_id_after_crash = false;
   bool guards_capacity = false;  ///< Minions refuse starts that do not fit.
   int late_starts = 0;  ///< Number of starts that will be executed late.
+  int lost_stops = 0;   ///< Number of stops that will be lost.
   int crash_count = 0;
   std::map<task_key, int> crashes;  ///< Crashes by the task at fault.
 
@@ -400,6 +408,11 @@
         report_answer(*core, now, order, outcome);
       }
     };
+    if (std::is_same_v<Order, stop_order> && lost_stops > 0) {
+      --lost_stops;
+      ScheduleAt(timeout, [answer] { answer(order_outcome::kUnknown); });
+      return;
+    }
     bool is_late = Chance() < options_.late_order_rate;
     if (std::is_same_v<Order, start_order> && late_starts > 0) {
       --late_starts;
@@ -492,12 +505,15 @@
     if (IsFenced(minion, order.fence)) {
       return order_outcome::kFenced;
     }
+    if (minion.refuses_stops) {
+      return order_outcome::kUnavailable;
+    }
     std::int64_t& highest_ended_run = minion.highest_ended_run[order.run.task];
     highest_ended_run = std::max(highest_ended_run, order.run.run);
     const auto it = minion.running.find(order.run);
     if (it != minion.running.end() && !it->second.is_stopping) {
       it->second.is_stopping = true;
-      it->second.stop_completes_at = now + std::chrono::milliseconds(200);
+      it->second.stop_completes_at = now + kStopTime;
     }
     return order_outcome::kDone;
   }
@@ -783,6 +799,35 @@
     }
   }
 
+  // No run of a cancelled job goes on, unless it was started or its minion or
+  // the owner was disturbed a moment ago.
+  void CheckCancelled() {
+    if (table.is_down) {
+      disturbed_at_ = now;
+    }
+    for (auto& [id, minion] : minions) {
+      if (!IsReachable(id) || minion.refuses_stops) {
+        minion.last_cut_off = now;
+        continue;
+      }
+      for (const auto& [run, held] : minion.running) {
+        const auto cancelled_at = cancelled_at_.find(run.task.job);
+        if (cancelled_at == cancelled_at_.end()) {
+          continue;
+        }
+        const instant since = std::max({cancelled_at->second, held.started_at,
+                                        minion.last_cut_off, disturbed_at_});
+        if (now > since + kCancelTime + kStopTime &&
+            run_on_.insert({id, run}).second) {
+          violations.push_back(
+              "runs on although its job was cancelled: " + run.task.job + "." +
+              std::to_string(run.task.index) + "#" + std::to_string(run.run) +
+              " on " + id);
+        }
+      }
+    }
+  }
+
   // Without a start, what runs exceeds a capacity only if that has shrunk.
   void CheckCapacity() {
     for (const auto& [id, minion] : minions) {
@@ -804,6 +849,9 @@
   std::map<run_key, instant> done_at_;
   std::map<task_key, instant> last_start_;
   std::map<task_key, int> starts_after_crashes_;  ///< After the third crash.
+  std::map<std::string, instant> cancelled_at_;
+  instant disturbed_at_;  ///< Last change of owner or failure of the table.
+  std::set<std::pair<std::string, run_key>> run_on_;  ///< Reported, by minion.
 };
 
 }  // namespace sassafras::sched
--- /dev/null
+++ b/tests/unwanted_run_test.cc
@@ -0,0 +1,165 @@
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/fleet_checks.h"
+
+namespace sassafras::sched {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Returns the id of the first minion that runs something.
+std::string BusyMinion(const fake_fleet& fleet) {
+  for (const auto& [id, minion] : fleet.minions) {
+    if (!minion.running.empty()) {
+      return id;
+    }
+  }
+  return {};
+}
+
+// Lets `minion` run a task of `job` that the owner has no unit for.
+void AddStrayRun(fake_fleet& fleet,
+                 const std::string& minion,
+                 const std::string& job) {
+  fleet.minions.at(minion).running[{{job, 0, 0, 0}, 1}] = {
+      "", 60s, fleet.now, false, {}};
+}
+
+TEST_CASE("A run of a cancelled job that no unit stands for is stopped") {
+  fake_fleet fleet({});
+  accepted_job job = OneStep("a", 1, 1, kSmall, 60s);
+  job.spec.occurrences = 1;
+  job.spec.first_due_unix_ms =
+      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  fleet.Cancel("a");
+  fleet.Run(1s);
+  const std::string minion = fleet.minions.begin()->first;
+
+  SECTION("although the first stops are lost on a minion without other runs") {
+    AddStrayRun(fleet, minion, "a");
+    fleet.lost_stops = 3;
+    fleet.ReplaceOwner();
+    fleet.Run(fake_fleet::kCancelTime + fake_fleet::kStopTime);
+    CHECK(fleet.CountRunning("a") == 0);
+    fleet.Run(2s);
+    CheckNoViolations(fleet);
+  }
+  SECTION("and counted once, however often its stop is sent") {
+    AddStrayRun(fleet, minion, "a");
+    fleet.lost_stops = 3;
+    fleet.ReplaceOwner();
+    fleet.Run(5s);
+    CHECK(fleet.CountRunning("a") == 0);
+    CHECK(fleet.counters.Get("sched_orphans_stopped") == 1);
+  }
+  SECTION("beside a run that goes on") {
+    fleet.Submit(OneStep("b", 1, 8, {100'000, 200'000, 7}, 60s));
+    fleet.Run(1s);
+    REQUIRE(fleet.CountRunning("b") == 8);
+    AddStrayRun(fleet, minion, "a");
+    fleet.lost_stops = 3;
+    fleet.Run(fake_fleet::kCancelTime + fake_fleet::kStopTime);
+    CHECK(fleet.CountRunning("a") == 0);
+    CHECK(fleet.CountRunning("b") == 8);
+    CHECK(fleet.starts["b"] == 8);
+    CheckNoViolations(fleet);
+  }
+}
+
+// The minion keeps its id and cannot tell orders to its earlier incarnation.
+TEST_CASE("A late start that a restarted minion executes is stopped") {
+  fake_fleet::options options;
+  options.refuses_orders_to_earlier_incarnations = false;
+  options.seed = GENERATE(1, 2, 3, 4, 5, 6);
+  INFO("seed " << options.seed);
+  fake_fleet fleet(options);
+  fleet.late_starts = 1;
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 1);
+  const std::string minion = BusyMinion(fleet);
+  fleet.Cancel("a");
+  fleet.Run(600ms);
+  REQUIRE(fleet.CountRunning("a") == 0);
+  fleet.RestartMinion(minion);
+  fleet.Run(15s);
+  CHECK(fleet.starts["a"] == 2);
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("A run that must end is not kept alive by the polls of its minion") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 1);
+  fleet.minions.at(BusyMinion(fleet)).refuses_stops = true;
+
+  SECTION("after its job was cancelled") {
+    fleet.Cancel("a");
+    fleet.Run(fake_fleet::kLease + 500ms);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
+  SECTION("nor by the next owner") {
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    fleet.ReplaceOwner();
+    fleet.Run(fake_fleet::kLease + 500ms);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
+  SECTION("unless another run there goes on") {
+    fleet.Submit(OneStep("b", 1, 8, kWholeMinion, 60s));
+    fleet.Run(1s);
+    const int running = fleet.CountRunning("b");
+    REQUIRE(running >= 7);
+    fleet.Cancel("a");
+    fleet.Run(fake_fleet::kLease + 2s);
+    CHECK(fleet.CountRunning("b") >= running);
+    CheckNoViolations(fleet);
+  }
+}
+
+TEST_CASE("A run whose task was done earlier is stopped with its job") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("a", 1, 2, kWholeMinion, 3s));
+  fleet.Run(500ms);
+  REQUIRE(fleet.CountRunning("a") == 2);
+  const std::string cut_off = BusyMinion(fleet);
+  fleet.minions.at(cut_off).is_partitioned = true;
+  for (auto& [id, minion] : fleet.minions) {
+    for (auto& [run, held] : minion.running) {
+      held.remaining = id == cut_off ? 3s : 60s;
+    }
+  }
+  fleet.Run(8s);
+  REQUIRE(fleet.starts["a"] == 3);  // Its lease has expired.
+  for (auto& [id, minion] : fleet.minions) {
+    for (auto& [run, held] : minion.running) {
+      held.remaining = 60s;
+    }
+  }
+  fleet.minions.at(cut_off).is_partitioned = false;
+  fleet.Run(400ms);
+  REQUIRE(fleet.counters.Get("sched_late_done") == 1);
+
+  SECTION("at once if the job is cancelled") {
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
+  SECTION("at once by the next owner as well") {
+    fleet.Cancel("a");
+    fleet.ReplaceOwner();
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
+  SECTION("and the other task goes on if it is not") {
+    fleet.Run(4s);
+    CHECK(fleet.CountRunning("a") == 1);
+  }
+}
+
+}  // namespace
+}  // namespace sassafras::sched
