Stop a run that no unit stands for until its minion lists it no more

Cause: a listed run without a unit was stopped by one order for each answered poll, and a minion that has nothing else is not polled again. If that one stop was lost, nobody looked at the run any more. Evidence: in unwanted_run_test "A run of a cancelled job that no unit stands for is stopped" three lost stops let it run on without end; two sections failed before. Change: such a run is kept at its minion as a stray.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -167,6 +167,7 @@
   void ReleaseMember(job_entry& job, work_unit& unit, unit_member& member);
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
   void LogIfStopOverdue(instant now, const member_ref& ref);
+  void StopStrays(instant now);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
                             run_end how);
@@ -217,7 +218,13 @@
                 duration wait,
                 bool is_extra);
   void RemoveDepartedMinions();
-  void StopOrphan(const minion_entry& minion, const listed_run& run);
+  void KeepStray(instant now,
+                 instant sent,
+                 minion_entry& minion,
+                 const run_key& run);
+  static void DropStraysNotListed(instant sent,
+                                  const std::set<run_key>& listed,
+                                  minion_entry& minion);
   std::string_view HealthOf(instant now, const minion_entry& minion) const;
   bool MayStartAnything(instant now) const;
   void AvoidMinion(instant now,
@@ -419,6 +426,7 @@
   std::vector<minion_entry*> dirty_minions_;
   std::set<std::string> polled_minions_;  // Since the last progress check.
   std::set<std::string> minions_with_pending_ends_;
+  std::set<std::string> minions_with_strays_;
   std::map<std::string, fleet_view> fleets_;  // By service.
   // Cache of whether a step could ever run on one rack. Cleared when the minion
   // list is read.
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -127,6 +127,7 @@
   minion.last_acknowledged_end = 0;
   minion.pending_ends.clear();
   minions_with_pending_ends_.erase(minion.report.id);
+  minion.strays.clear();
   MarkDirty(minion);
   minion.next_poll = now;
   minion.trust = minion_trust();
@@ -286,7 +287,7 @@
     listed.insert(run.run);
     const member_ref ref = FindMember(run.run, minion.report.id);
     if (ref.member == nullptr) {
-      StopOrphan(minion, run);
+      KeepStray(now, sent, minion, run.run);
       continue;
     }
     const member_phase phase = ref.member->phase;
@@ -313,6 +314,7 @@
       ref.unit->checkpoint = run.checkpoint;
     }
   }
+  DropStraysNotListed(sent, listed, minion);
   if (answer.ended.size() >= kMaxListedEnds) {
     return;
   }
@@ -336,21 +338,34 @@
   }
 }
 
-// Stops a run that belongs to no unit: it was started late, or left by an
-// earlier owner.
-void work_core::impl::StopOrphan(const minion_entry& minion,
-                                 const listed_run& run) {
+// Stops are sent to a stray run, and its minion is polled, until the minion no
+// longer lists it.
+void work_core::impl::KeepStray(instant now,
+                                instant sent,
+                                minion_entry& minion,
+                                const run_key& run) {
+  const auto [stray, is_new] = minion.strays.try_emplace(run, stray_run{});
+  stray->second.listed_by = std::max(stray->second.listed_by, sent);
+  if (!is_new) {
+    return;
+  }
+  stray->second.next_stop = now;
+  minions_with_strays_.insert(minion.report.id);
   counters_.Add("sched_orphans_stopped");
-  const auto job = jobs_.find(run.run.task.job);
-  LogEvent("orphan_stopped", run.run.task.job, FormatRun(run.run),
-           minion.report.id,
+  const auto job = jobs_.find(run.task.job);
+  LogEvent("orphan_stopped", run.task.job, FormatRun(run), minion.report.id,
            std::string(job == jobs_.end() ? "unknown job"
                                           : GetName(job->second.state)));
-  actions_.stops.push_back(
-      {{minion.report.id, minion.report.incarnation_unix_ms,
-        minion.report.address},
-       run.run,
-       fence_});
+}
+
+// Answers may overtake each other, so that only a poll which was sent after
+// the one that listed a run shows that it is over.
+void work_core::impl::DropStraysNotListed(instant sent,
+                                          const std::set<run_key>& listed,
+                                          minion_entry& minion) {
+  std::erase_if(minion.strays, [&](const auto& item) {
+    return !listed.contains(item.first) && item.second.listed_by < sent;
+  });
 }
 
 // Ends are acknowledged in order, once their effects are durable.
@@ -458,7 +473,9 @@
   if (minion.NeedsPolling() && !minion.is_poll_in_flight &&
       now >= minion.next_poll) {
     const duration wait = PollWait(now, minion);
-    if (!minion.pending_ends.empty()) {
+    if (!minion.strays.empty()) {
+      minion.next_poll = now + kExtraPollInterval;
+    } else if (!minion.pending_ends.empty()) {
       minion.next_poll = now + kPendingEndsPollInterval;
     }
     if (wait > duration(0) &&
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -556,6 +556,23 @@
           {member.incarnation, KeyOf(*ref.job, *ref.unit, member), fence_});
     }
   }
+  StopStrays(now);
+}
+
+void work_core::impl::StopStrays(instant now) {
+  std::erase_if(minions_with_strays_, [&](const std::string& id) {
+    minion_entry& minion = MinionOf(id);
+    for (auto& [run, stray] : minion.strays) {
+      if (now >= stray.next_stop) {
+        stray.next_stop = now + kStopResendInterval;
+        actions_.stops.push_back(
+            {{id, minion.report.incarnation_unix_ms, minion.report.address},
+             run,
+             fence_});
+      }
+    }
+    return minion.strays.empty();
+  });
 }
 
 // Logs, once, a run that outlives its stop.
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -274,6 +274,13 @@
   std::set<std::string> denied_minions;   ///< Must not run the step.
 };
 
+/// A run that a minion lists and that no unit stands for: it was started late,
+/// or an earlier owner started it.
+struct stray_run {
+  instant listed_by;  ///< When the poll was sent whose answer lists it.
+  instant next_stop;  ///< Earliest time of the next stop.
+};
+
 /// State of one minion as the core knows it.
 struct minion_entry {
   minion_report report;
@@ -290,6 +297,7 @@
   resource_amounts used;            ///< Reserved by all members.
   std::map<run_key, member_ref> members;  ///< Runs that are not terminated.
   member_counts counts;                   ///< Of `members`.
+  std::map<run_key, stray_run> strays;    ///< Until they are listed no more.
   /// Highest number of an end whose effects are durable.
   std::int64_t last_durable_end = 0;
   std::int64_t last_processed_end = 0;           ///< Highest processed number.
@@ -312,7 +320,8 @@
 
   /// Whether it needs polls: it has runs, or ends to acknowledge.
   bool NeedsPolling() const {
-    return !members.empty() || last_acknowledged_end < last_processed_end;
+    return !members.empty() || !strays.empty() ||
+           last_acknowledged_end < last_processed_end;
   }
 
   bool HasServingAndFillers() const {
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -147,6 +147,7 @@
   std::erase(dirty_minions_, &minion);
   polled_minions_.erase(minion.report.id);
   minions_with_pending_ends_.erase(minion.report.id);
+  minions_with_strays_.erase(minion.report.id);
 }
 
 }  // namespace sassafras::sched
