Start nothing beside a run that no unit stands for

A minion that does not guard its capacity was brought over it (LIMIT). Cause: capacity is reserved by units, and a stray run has none. A new owner that finds one on a minion placed other work there at once, while the stray was still being stopped. Evidence: unwanted_run_test "Nothing is started beside a run that no unit stands for" failed before, with a start that exceeds the capacity. Change: a minion with a stray takes nothing until the stray is listed no more, which is usually a stop time; its health says "runs a stray". What a stray of an unknown job needs is not known, so that its room cannot be reserved. Measured: the case passes; sched_core_test, sched_minions_test and crash_test pass.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -541,6 +541,9 @@
   if (!minion.is_responsive) {
     return "silent";
   }
+  if (!minion.strays.empty()) {
+    return "runs a stray";
+  }
   if (minion.counts.isolated > 0) {
     return kIsolating;
   }
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -69,6 +69,27 @@
   }
 }
 
+TEST_CASE("Nothing is started beside a run that no unit stands for") {
+  fake_fleet::options options;
+  options.minions = 1;
+  fake_fleet fleet(options);
+  accepted_job job = OneStep("a", 1, 1, kWholeMinion, 60s);
+  job.spec.occurrences = 1;
+  job.spec.first_due_unix_ms =
+      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  AddStrayRun(fleet, fleet.minions.begin()->first, "a");
+  fleet.lost_stops = 3;
+  fleet.ReplaceOwner();
+  fleet.Submit(OneStep("b", 1, 1, kSmall, 300ms));
+  fleet.Run(400ms);
+  CHECK(fleet.starts["b"] == 0);
+  fleet.Run(2s);
+  CHECK(fleet.StateOf("b") == job_state::kComplete);
+  CheckNoViolations(fleet);
+}
+
 // The minion keeps its id and cannot tell orders to its earlier incarnation.
 TEST_CASE("A late start that a restarted minion executes is stopped") {
   fake_fleet::options options;
