Look at a restarted minion while it may execute earlier starts

Cause: a stop that a minion acknowledged protects only against late starts in that incarnation. The next one under the same id may accept them, and the owner looks at a minion without units once, when it answers first. Change: an unanswered start is expected for 12 s. If its minion restarts meanwhile, the new incarnation is polled each second until then, so that the run is found as a stray and stopped; the minion's entry is kept as long.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -217,11 +217,12 @@
                 minion_entry& minion,
                 duration wait,
                 bool is_extra);
-  void RemoveDepartedMinions();
+  void RemoveDepartedMinions(instant now);
   void KeepStray(instant now,
                  instant sent,
                  minion_entry& minion,
                  const run_key& run);
+  void ExpectLateStart(instant now, const minion_incarnation& recipient);
   static void DropStraysNotListed(instant sent,
                                   const std::set<run_key>& listed,
                                   minion_entry& minion);
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -25,6 +25,11 @@
 constexpr duration kPendingEndsPollInterval = std::chrono::milliseconds(500);
 // Interval of extra polls for runs whose stop was acknowledged.
 constexpr duration kExtraPollInterval = std::chrono::milliseconds(100);
+// Interval of polls of a minion without runs that may execute a late start: a
+// third of the shortest time within which a cancelled job must be gone.
+constexpr duration kWatchInterval = std::chrono::seconds(1);
+// Longest time after an unanswered order at which minions execute it.
+constexpr duration kMaxOrderDelay = std::chrono::seconds(12);
 // Minions' clocks may be 2% slow; one more percent covers this process's clock
 // and rounding.
 constexpr double kClockRateTolerance = 1.03;
@@ -82,18 +87,19 @@
     }
   }
   has_new_answers_ = true;
-  RemoveDepartedMinions();
+  RemoveDepartedMinions(now);
   RebuildViews(now);
   minion_list_read_at_ = now;
   should_place_ = true;
 }
 
-void work_core::impl::RemoveDepartedMinions() {
+void work_core::impl::RemoveDepartedMinions(instant now) {
   for (auto it = minions_.begin(); it != minions_.end();) {
     minion_entry& minion = it->second;
-    const bool is_gone = !minion.is_listed && !minion.is_responsive &&
-                         minion.members.empty() && !minion.is_poll_in_flight &&
-                         !minion.is_extra_poll_in_flight;
+    const bool is_gone =
+        !minion.is_listed && !minion.is_responsive && minion.members.empty() &&
+        now >= minion.late_starts_end && !minion.is_poll_in_flight &&
+        !minion.is_extra_poll_in_flight;
     if (is_gone) {
       LogEvent("minion_gone", "", "", it->first, "");
       ForgetMinion(minion);
@@ -128,6 +134,7 @@
   minion.pending_ends.clear();
   minions_with_pending_ends_.erase(minion.report.id);
   minion.strays.clear();
+  minion.watched_until = minion.late_starts_end;
   MarkDirty(minion);
   minion.next_poll = now;
   minion.trust = minion_trust();
@@ -358,6 +365,22 @@
                                           : GetName(job->second.state)));
 }
 
+// An unanswered start may be executed late, also by a later incarnation under
+// the same id, which knows of no stop. The incarnation that it was sent to
+// refuses it, since its run was stopped there or is listed.
+void work_core::impl::ExpectLateStart(instant now,
+                                      const minion_incarnation& recipient) {
+  minion_entry* minion = FindMinion(recipient.id);
+  if (minion == nullptr) {
+    return;
+  }
+  minion->late_starts_end = now + kMaxOrderDelay;
+  if (minion->report.incarnation_unix_ms != recipient.incarnation_unix_ms) {
+    minion->watched_until = minion->late_starts_end;
+    MarkDirty(*minion);
+  }
+}
+
 // Answers may overtake each other, so that only a poll which was sent after
 // the one that listed a run shows that it is over.
 void work_core::impl::DropStraysNotListed(instant sent,
@@ -470,11 +493,13 @@
     }
     return;
   }
-  if (minion.NeedsPolling() && !minion.is_poll_in_flight &&
+  if (minion.NeedsPolling(now) && !minion.is_poll_in_flight &&
       now >= minion.next_poll) {
     const duration wait = PollWait(now, minion);
     if (!minion.strays.empty()) {
       minion.next_poll = now + kExtraPollInterval;
+    } else if (minion.members.empty() && now < minion.watched_until) {
+      minion.next_poll = now + kWatchInterval;
     } else if (!minion.pending_ends.empty()) {
       minion.next_poll = now + kPendingEndsPollInterval;
     }
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -243,6 +243,9 @@
     LogEvent("start_not_done", order.run.task.job, FormatRun(order.run),
              order.minion.id, std::string(GetName(outcome)));
   }
+  if (outcome == order_outcome::kUnknown) {
+    ExpectLateStart(now, order.minion);
+  }
   if (ref.member == nullptr ||
       !ref.member->incarnation.IsSameIncarnation(order.minion)) {
     return;
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -307,6 +307,12 @@
   bool is_extra_poll_in_flight = false;
   instant next_poll;        ///< Earliest time of the next regular poll.
   instant next_extra_poll;  ///< Earliest time of the next extra poll.
+  /// When no unanswered start to the minion, under whichever incarnation, can
+  /// be executed any more.
+  instant late_starts_end;
+  /// Until when it is polled without having runs: its incarnation may execute
+  /// starts that were sent to an earlier one.
+  instant watched_until;
   instant drain_deadline;  ///< Earliest time at which a draining minion leaves.
   bool is_cordoned = false;     ///< Receives no tasks: its upkeep is due.
   int filler_percent = 100;     ///< Speed limit of its fillers.
@@ -318,9 +324,10 @@
   /// When the minion must be handled if no event occurs.
   instant wakeup_at = instant::max();
 
-  /// Whether it needs polls: it has runs, or ends to acknowledge.
-  bool NeedsPolling() const {
-    return !members.empty() || !strays.empty() ||
+  /// Whether it needs polls: it has runs or may get some, or has ends to
+  /// acknowledge.
+  bool NeedsPolling(instant now) const {
+    return !members.empty() || !strays.empty() || now < watched_until ||
            last_acknowledged_end < last_processed_end;
   }
 
