Extend no lease on a minion whose runs must all end

Callers could see a task of their cancelled job run on without end (UNASKED) at a minion that refuses stops. Cause: a poll extends the leases of all that its minion runs. Runs that were being stopped had theirs extended with each poll, so that a stop that took no effect had no bound. Evidence: unwanted_run_test "A run that must end is not kept alive by the polls of its minion" failed before, with the owner that cancelled the job and with the next one. Change: a poll extends leases only if some run at its minion has to go on. What must end there ends with its lease at the latest. Beside a run that goes on, stops are still the only means.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -212,6 +212,7 @@
   bool HasLeaseExpired(instant now, const minion_entry& minion) const;
   std::int64_t LeaseExpiryOnMinionClockMs(instant now,
                                           const minion_entry& minion) const;
+  static bool HasRunToKeep(const minion_entry& minion);
   duration PollWait(instant now, const minion_entry& minion) const;
   void EmitPoll(instant now,
                 minion_entry& minion,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -519,6 +519,15 @@
   }
 }
 
+// A poll extends the leases of all runs on its minion. It must not if none of
+// them has to go on, since stops may fail for as long.
+bool work_core::impl::HasRunToKeep(const minion_entry& minion) {
+  return std::any_of(
+      minion.members.begin(), minion.members.end(), [](const auto& item) {
+        return item.second.member->phase != member_phase::kStopping;
+      });
+}
+
 // A lease is extended only if the last poll was answered, so that the time at
 // which an unreachable minion's leases expire is known.
 void work_core::impl::EmitPoll(instant now,
@@ -537,7 +546,7 @@
   }
   order.wait = wait;
   order.is_extra = is_extra;
-  if (minion.has_answered && minion.is_responsive && !minion.members.empty()) {
+  if (minion.has_answered && minion.is_responsive && HasRunToKeep(minion)) {
     order.lease_expiry_clock_ms = LeaseExpiryOnMinionClockMs(now, minion);
     minion.last_lease_grant = now;
   }
