Stop at once a run whose task an earlier run has done

Cause: members of a gang that is done end by themselves, so that their stops wait for 3 s. The wait also applied to a newer run of a task whose earlier run turned out to be done, which does not end by itself, and held on when the job was cancelled meanwhile or restored by the next owner. Change: a newer run is closed as done_earlier and stopped at once; a cancelling stops at once what was waiting, also when the unit is done.

--- a/src/sched/close_cause.h
+++ b/src/sched/close_cause.h
@@ -12,6 +12,7 @@
 /// name.
 enum class close_cause : std::uint8_t {
   kDone,            ///< Its minion listed its end as done.
+  kDoneEarlier,     ///< An earlier run of its unit was done.
   kFailed,          ///< Its minion listed its end as failed.
   kEndedOtherwise,  ///< Listed as stopped, broken or similar.
   kCancelled,       ///< Its caller cancelled the job.
@@ -34,8 +35,9 @@
   std::string_view description;  ///< In logs.
 };
 
-inline constexpr std::array<close_cause_info, 16> kCloseCauses = {{
+inline constexpr std::array<close_cause_info, 17> kCloseCauses = {{
     {"done", "done"},
+    {"done_earlier", "an earlier run was done"},
     {"failed", "failed"},
     {"ended_otherwise", "ended as"},
     {"cancelled", "cancelled by its caller"},
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -326,11 +326,17 @@
                  std::to_string(std::llround(lost)),
              cause == close_cause::kDone && unit.width == 1);
   }
+  const bool ends_by_itself = unit.is_done &&
+                              cause != close_cause::kCancelled &&
+                              cause != close_cause::kDoneEarlier;
+  const instant due = ends_by_itself ? now + kDoneStopDelay : now;
   for (unit_member& member : unit.members) {
     if (member.phase == member_phase::kPlanned) {
       ReleaseMember(job, unit, member);
-    } else if (MayStillRun(member) && member.phase != member_phase::kStopping) {
-      BeginStopping(member, unit.is_done ? now + kDoneStopDelay : now);
+    } else if (MayStillRun(member) &&
+               (member.phase != member_phase::kStopping ||
+                due < member.stopping_since)) {
+      BeginStopping(member, due);
       MarkDirty(MinionOf(member.incarnation.id));
     }
   }
@@ -341,12 +347,12 @@
 std::optional<close_cause> work_core::impl::CauseNotToRun(
     const job_entry& job,
     const work_unit& unit) {
-  if (unit.is_done || job.state == job_state::kComplete) {
-    return close_cause::kDone;
-  }
   if (job.is_cancelled) {
     return close_cause::kCancelled;
   }
+  if (unit.is_done || job.state == job_state::kComplete) {
+    return close_cause::kDone;
+  }
   if (job.state == job_state::kFailed) {
     return close_cause::kJobFailed;
   }
@@ -475,7 +481,9 @@
       if (unit.phase == unit_phase::kWaiting) {
         SetPhase(job, unit, unit_phase::kDone);
       }
-      CloseRun(now, job, unit, close_cause::kDone, "earlier");
+      CloseRun(now, job, unit,
+               unit.run == end.run.run ? close_cause::kDone
+                                       : close_cause::kDoneEarlier);
       MarkChanged(job);
       UpdateState(now, job);
     }
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -176,9 +176,10 @@
     fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 0);
   }
-  SECTION("and the other task goes on if it is not") {
-    fleet.Run(4s);
+  SECTION("at once if its job goes on, whose other task runs on") {
+    fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 1);
+    CHECK(fleet.StateOf("a") == job_state::kRunning);
   }
 }
 
