Play cancels under random faults

Cause: no random run cancelled most of its jobs while orders are late, minions restart under either id and owners change. Change: unwanted_run_test "Under random faults no run of a cancelled job goes on", 17 seeds. Only this rule is judged; the other random runs judge the rest.

--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -1,4 +1,7 @@
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <iterator>
+#include <random>
 #include <string>
 
 #include "tests/fleet_checks.h"
@@ -183,5 +186,75 @@
   }
 }
 
+TEST_CASE("Under random faults no run of a cancelled job goes on") {
+  const int seed = GENERATE(range(1, 17), 189);
+  INFO("seed " << seed);
+  fake_fleet::options options;
+  options.seed = static_cast<std::uint64_t>(seed);
+  options.lost_answer_rate = 0.1;
+  options.late_order_rate = 0.1;
+  options.unknown_commit_rate = 0.1;
+  options.refuses_orders_to_earlier_incarnations = seed % 2 == 0;
+  fake_fleet fleet(options);
+  fleet.crash_downtime = 1500ms;
+  fleet.keeps_id_after_crash = seed % 4 < 2;
+  std::mt19937_64 random(options.seed * 6271);
+  const auto chance = [&] {
+    return std::uniform_real_distribution<double>(0, 1)(random);
+  };
+  const auto any_minion = [&]() -> fake_minion& {
+    auto it = fleet.minions.begin();
+    std::advance(it, static_cast<long>(
+                         chance() * static_cast<double>(fleet.minions.size())));
+    return it->second;
+  };
+  int submitted = 0;
+  for (int step = 0; step < 60; ++step) {
+    accepted_job job = OneStep("j" + std::to_string(submitted++),
+                               static_cast<int>(chance() * 3),
+                               1 + static_cast<int>(chance() * 4), kSmall, 60s);
+    job.spec.steps[0].is_gang = chance() < 0.3;
+    job.spec.steps[0].is_persistent = chance() < 0.2;
+    fleet.Submit(job);
+    if (chance() < 0.9) {
+      fleet.Cancel("j" +
+                   std::to_string(static_cast<int>(chance() * submitted)));
+    }
+    if (chance() < 0.08) {
+      fleet.ReplaceOwner();
+    }
+    if (chance() < 0.15) {
+      fake_minion& minion = any_minion();
+      minion.is_partitioned = !minion.is_partitioned;
+    }
+    if (chance() < 0.15) {
+      fake_minion& minion = any_minion();
+      if (minion.is_up) {
+        fleet.CrashMinion(minion.report.id);
+      }
+    }
+    fleet.table.is_down = chance() < 0.05;
+    fleet.Run(300ms);
+  }
+  fleet.table.is_down = false;
+  for (auto& [id, minion] : fleet.minions) {
+    minion.is_partitioned = false;
+  }
+  for (const auto& [id, job] : fleet.jobs) {
+    fleet.Cancel(id);
+  }
+  fleet.Run(16s);
+  for (const auto& [id, job] : fleet.jobs) {
+    INFO("job " << id);
+    CHECK(fleet.CountRunning(id) == 0);
+  }
+  const auto goes_on = [](const std::string& violation) {
+    return violation.starts_with("runs on");
+  };
+  INFO(Join(fleet.violations));
+  CHECK(
+      std::none_of(fleet.violations.begin(), fleet.violations.end(), goes_on));
+}
+
 }  // namespace
 }  // namespace sassafras::sched
