Test each way by which an owner learns of a cancelling

Cause: no test of the owner process had a cancelling at all: the change feed, a scan after lost history, a scan that was answered before the mark, and the load of the next owner were proved by none. Change: six sections of job_owner_test "A cancelled job is stopped whichever way its owner learns of it"; the world of the owner counts runs and stores cancellings.

--- a/tests/job_owner_test.cc
+++ b/tests/job_owner_test.cc
@@ -155,6 +155,71 @@
   }
 }
 
+TEST_CASE("A cancelled job is stopped whichever way its owner learns of it") {
+  owner_world world;
+  world.Run(1s);
+  const auto submit_and_run = [&] {
+    world.Submit(kJob, 4, 60s);
+    world.Run(1s);
+    REQUIRE(world.CountRunning(kJob) == 4);
+  };
+
+  SECTION("by the change feed") {
+    submit_and_run();
+    world.Cancel(kJob);
+    world.Run(1s);
+    CHECK(world.CountRunning(kJob) == 0);
+  }
+  SECTION("by a scan, since the history of the feed is lost") {
+    submit_and_run();
+    world.ForgetHistory();
+    world.Cancel(kJob);
+    world.Run(1s);
+    CHECK(world.CountRunning(kJob) == 0);
+  }
+  SECTION("by the feed that follows a scan which was answered before") {
+    submit_and_run();
+    world.scan_time = 500ms;
+    world.ForgetHistory();
+    world.Run(100ms);
+    world.Cancel(kJob);
+    world.Run(2s);
+    CHECK(world.CountRunning(kJob) == 0);
+  }
+  SECTION("by loading it, since its former owner was killed") {
+    submit_and_run();
+    world.Cancel(kJob);
+    world.ReplaceOwner();
+    world.Run(5s);
+    CHECK(world.CountRunning(kJob) == 0);
+  }
+  SECTION("by its record, since its former owner was killed amid the stops") {
+    submit_and_run();
+    const auto stop = world.adapter.orders.stop;
+    world.adapter.orders.stop =
+        [](const sched::stop_order&,
+           const std::function<void(sched::order_answer)>& done) {
+          done({sched::order_outcome::kUnknown});
+        };
+    world.Cancel(kJob);
+    world.Run(500ms);
+    const auto record =
+        sched::DecodeRecord(world.table.Read(sched::kRecordTable + kJob).value);
+    REQUIRE(record.value().state == sched::job_state::kCancelled);
+    REQUIRE(world.CountRunning(kJob) == 4);
+    world.adapter.orders.stop = stop;
+    world.ReplaceOwner();
+    world.Run(5s);
+    CHECK(world.CountRunning(kJob) == 0);
+  }
+  SECTION("before it has started anything") {
+    world.Submit(kJob, 4, 60s);
+    world.Cancel(kJob);
+    world.Run(3s);
+    CHECK(world.starts[kJob] == 0);
+  }
+}
+
 // Guards against an entry of another writer that keeps the owner from following
 // the list of minions.
 TEST_CASE("Odd entries among those of the minions") {
--- a/tests/owner_world.h
+++ b/tests/owner_world.h
@@ -70,6 +70,20 @@
     PutRow(sched::JobKey(id), sched::EncodeJobRow({false, job}));
   }
 
+  /// Stores the cancelling of a job, as the process that acknowledges it does.
+  void Cancel(const std::string& id) { PutRow(sched::CancelKey(id), "{}"); }
+
+  /// Returns the number of runs of `job` on all minions.
+  int CountRunning(const std::string& job) const {
+    int count = 0;
+    for (const auto& [id, minion] : minions_) {
+      for (const auto& [run, held] : minion.running) {
+        count += run.task.job == job ? 1 : 0;
+      }
+    }
+    return count;
+  }
+
   /// Requests the upkeep of `names`, as the operator does.
   void RequestWave(int number, const std::vector<std::string>& names) {
     std::string list;
