Test that a failing job stops its other runs

Cause: with the call that closes the other runs of a failing job taken out, no test failed (a trial of guards taken out one by one). Change: unwanted_run_test "The other runs of a job that fails are stopped", single tasks and a gang.

--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -186,6 +186,24 @@
   }
 }
 
+TEST_CASE("The other runs of a job that fails are stopped") {
+  fake_fleet fleet({});
+  accepted_job job = OneStep("a", 1, 4, kWholeMinion, 60s);
+  job.max_attempts = 1;
+  job.spec.steps.push_back(job.spec.steps[0]);
+  job.spec.steps[1].is_gang = true;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 8);
+  fake_minion& failing = fleet.minions.at(BusyMinion(fleet));
+  failing.fails_all_runs = true;
+  failing.running.begin()->second.remaining = 10ms;
+  fleet.Run(1s);
+  CHECK(fleet.StateOf("a") == job_state::kFailed);
+  CHECK(fleet.CountRunning("a") == 0);
+  CheckNoViolations(fleet);
+}
+
 TEST_CASE("Under random faults no run of a cancelled job goes on") {
   const int seed = GENERATE(range(1, 17), 189);
   INFO("seed " << seed);
