Show what each guard against unwanted runs is worth

Cause: with single guards taken out, the tests still passed: the entry of a minion that is kept for late starts, the answer to a start that is awaited while its minion restarts, answers that overtake each other, the wait of a done run that a cancelling ends. Change: three cases and a section of unwanted_run_test that need them; the stand-in's lateness of orders can be set.

--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -248,6 +248,8 @@
   bool guards_capacity = false;  ///< Minions refuse starts that do not fit.
   int late_starts = 0;  ///< Number of starts that will be executed late.
   int lost_stops = 0;   ///< Number of stops that will be lost.
+  duration min_lateness = std::chrono::seconds(2);  ///< Of late orders.
+  duration max_lateness = std::chrono::seconds(8);
   int crash_count = 0;
   std::map<task_key, int> crashes;  ///< Crashes by the task at fault.
 
@@ -419,10 +421,12 @@
       is_late = true;
     }
     const bool is_lost = is_late || Chance() < options_.lost_answer_rate;
-    const duration delay = is_late
-                               ? std::chrono::milliseconds(
-                                     2000 + static_cast<int>(Chance() * 6000))
-                               : NetworkDelay();
+    const auto late_range =
+        static_cast<double>((max_lateness - min_lateness).count());
+    const duration delay =
+        is_late ? min_lateness +
+                      duration(static_cast<std::int64_t>(Chance() * late_range))
+                : NetworkDelay();
     ScheduleAt(now + delay, [this, order, execute, answer, is_lost, timeout] {
       if (!IsReachable(order.minion.id)) {
         if (!is_lost) {
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -114,6 +114,73 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE("A late start is stopped whose answer is awaited at the restart") {
+  fake_fleet::options options;
+  options.refuses_orders_to_earlier_incarnations = false;
+  fake_fleet fleet(options);
+  fleet.late_starts = 1;
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  while (fleet.sent_starts.empty()) {
+    fleet.Run(fake_fleet::kStep);
+  }
+  fleet.Cancel("a");
+  fleet.Run(200ms);
+  fleet.RestartMinion(fleet.sent_starts.front().minion.id);
+  fleet.SendMinionList();
+  fleet.Run(15s);
+  CHECK(fleet.sent_starts.size() == 1);
+  CHECK(fleet.starts["a"] == 1);
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("A late start is stopped on a minion that was gone for seconds") {
+  fake_fleet::options options;
+  options.refuses_orders_to_earlier_incarnations = false;
+  fake_fleet fleet(options);
+  fleet.late_starts = 1;
+  fleet.min_lateness = 11s;
+  fleet.max_lateness = 11s;
+  fleet.keeps_id_after_crash = true;
+  fleet.crash_downtime = 8s;
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  fleet.Run(100ms);
+  REQUIRE(fleet.sent_starts.size() == 1);
+  fleet.Cancel("a");
+  fleet.CrashMinion(fleet.sent_starts.front().minion.id);
+  fleet.Run(20s);
+  CHECK(fleet.starts["a"] == 1);
+  CheckNoViolations(fleet);
+}
+
+// Answers on different connections overtake each other.
+TEST_CASE("A stray run is stopped although an older poll does not list it") {
+  counter_table counters;
+  const instant start{std::chrono::hours(1)};
+  work_core core({}, 1, start, counters);
+  core.OnConfig(std::make_shared<service_config>());
+  minion_report report;
+  report.id = "minion";
+  report.incarnation_unix_ms = 1000;
+  report.service = "lab";
+  report.address = "10.0.0.1:80";
+  core.OnMinions(start, {report});
+  const work_actions actions = core.Decide(start, 0);
+  REQUIRE(actions.polls.size() == 1);
+  poll_answer without_runs;
+  without_runs.outcome = order_outcome::kDone;
+  without_runs.incarnation_unix_ms = 1000;
+  poll_answer with_stray = without_runs;
+  with_stray.running.push_back({{{"a", 0, 0, 0}, 1}, "", 0, 0});
+  core.OnPolled(start + 20ms, start + 10ms, actions.polls[0], with_stray);
+  core.OnPolled(start + 21ms, start, actions.polls[0], without_runs);
+  CHECK(core.Decide(start + 25ms, 0).stops.size() == 1);
+
+  SECTION("and no longer once a later one does not list it") {
+    core.OnPolled(start + 40ms, start + 30ms, actions.polls[0], without_runs);
+    CHECK(core.Decide(start + 500ms, 0).stops.empty());
+  }
+}
+
 TEST_CASE("A run that must end is not kept alive by the polls of its minion") {
   fake_fleet fleet({});
   fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
@@ -165,6 +232,7 @@
     }
   }
   fleet.minions.at(cut_off).is_partitioned = false;
+  fleet.lost_stops = GENERATE(0, 3);
   fleet.Run(400ms);
   REQUIRE(fleet.counters.Get("sched_late_done") == 1);
 
@@ -179,6 +247,13 @@
     fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 0);
   }
+  SECTION("at once if the next owner learns of the cancelling later") {
+    fleet.ReplaceOwner();
+    fleet.Run(100ms);
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
   SECTION("at once if its job goes on, whose other task runs on") {
     fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 1);
