Stop in a restarted minion what it may still be told to start

A minion could be brought over its capacity (LIMIT), and run a task of a cancelled job for a second or two, by a start that was sent to its earlier incarnation. Cause: the restarted minion was looked at each second, which finds a late start only once it runs. Meanwhile the minion took other work, the last second of the time was not covered, and the looks delayed those for new work. Change: the runs of unanswered starts are kept for 12 s by minion. The next incarnation under the same id is told to stop them, and takes nothing until it has acknowledged, which takes a call. It then refuses the late start. The watch is gone.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -168,6 +168,7 @@
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
   void LogIfStopOverdue(instant now, const member_ref& ref);
   void StopStrays(instant now);
+  void HandleStrayStopped(const stop_order& order);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
                             run_end how);
@@ -223,8 +224,14 @@
                  instant sent,
                  minion_entry& minion,
                  const run_key& run);
-  void ExpectLateStart(instant now, const minion_incarnation& recipient);
-  static void DropStraysNotListed(instant sent,
+  void ExpectLateStart(instant now, const start_order& order);
+  void AddStray(instant now,
+                minion_entry& minion,
+                const run_key& run,
+                instant expected_until);
+  void StopLateStarts(instant now, minion_entry& minion);
+  static void DropStraysNotListed(instant now,
+                                  instant sent,
                                   const std::set<run_key>& listed,
                                   minion_entry& minion);
   std::string_view HealthOf(instant now, const minion_entry& minion) const;
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -25,9 +25,6 @@
 constexpr duration kPendingEndsPollInterval = std::chrono::milliseconds(500);
 // Interval of extra polls for runs whose stop was acknowledged.
 constexpr duration kExtraPollInterval = std::chrono::milliseconds(100);
-// Interval of polls of a minion without runs that may execute a late start: a
-// third of the shortest time within which a cancelled job must be gone.
-constexpr duration kWatchInterval = std::chrono::seconds(1);
 // Longest time after an unanswered order at which minions execute it.
 constexpr duration kMaxOrderDelay = std::chrono::seconds(12);
 // Minions' clocks may be 2% slow; one more percent covers this process's clock
@@ -38,6 +35,12 @@
 // An answer that lists this number of ends may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
+bool MayStartLate(instant now, const minion_entry& minion) {
+  return std::any_of(minion.unanswered_starts.begin(),
+                     minion.unanswered_starts.end(),
+                     [now](const auto& item) { return now < item.second; });
+}
+
 }  // namespace
 
 minion_entry& work_core::impl::MinionOf(const std::string& id) {
@@ -96,10 +99,10 @@
 void work_core::impl::RemoveDepartedMinions(instant now) {
   for (auto it = minions_.begin(); it != minions_.end();) {
     minion_entry& minion = it->second;
-    const bool is_gone =
-        !minion.is_listed && !minion.is_responsive && minion.members.empty() &&
-        now >= minion.late_starts_end && !minion.is_poll_in_flight &&
-        !minion.is_extra_poll_in_flight;
+    const bool is_gone = !minion.is_listed && !minion.is_responsive &&
+                         minion.members.empty() && !MayStartLate(now, minion) &&
+                         !minion.is_poll_in_flight &&
+                         !minion.is_extra_poll_in_flight;
     if (is_gone) {
       LogEvent("minion_gone", "", "", it->first, "");
       ForgetMinion(minion);
@@ -134,7 +137,7 @@
   minion.pending_ends.clear();
   minions_with_pending_ends_.erase(minion.report.id);
   minion.strays.clear();
-  minion.watched_until = minion.late_starts_end;
+  StopLateStarts(now, minion);
   MarkDirty(minion);
   minion.next_poll = now;
   minion.trust = minion_trust();
@@ -321,7 +324,7 @@
       ref.unit->checkpoint = run.checkpoint;
     }
   }
-  DropStraysNotListed(sent, listed, minion);
+  DropStraysNotListed(now, sent, listed, minion);
   if (answer.ended.size() >= kMaxListedEnds) {
     return;
   }
@@ -345,49 +348,72 @@
   }
 }
 
-// Stops are sent to a stray run, and its minion is polled, until the minion no
-// longer lists it.
+// Stops are sent to a stray run, and its minion is polled and takes nothing
+// else, until the minion no longer lists it nor may start it.
+void work_core::impl::AddStray(instant now,
+                               minion_entry& minion,
+                               const run_key& run,
+                               instant expected_until) {
+  if (minion.strays.try_emplace(run, stray_run{now, {}, now, expected_until})
+          .second) {
+    minions_with_strays_.insert(minion.report.id);
+    MarkDirty(minion);
+  }
+}
+
 void work_core::impl::KeepStray(instant now,
                                 instant sent,
                                 minion_entry& minion,
                                 const run_key& run) {
-  const auto [stray, is_new] = minion.strays.try_emplace(run, stray_run{});
-  stray->second.listed_by = std::max(stray->second.listed_by, sent);
-  if (!is_new) {
-    return;
-  }
-  stray->second.next_stop = now;
-  minions_with_strays_.insert(minion.report.id);
-  counters_.Add("sched_orphans_stopped");
-  const auto job = jobs_.find(run.task.job);
-  LogEvent("orphan_stopped", run.task.job, FormatRun(run), minion.report.id,
-           std::string(job == jobs_.end() ? "unknown job"
-                                          : GetName(job->second.state)));
+  AddStray(now, minion, run, instant());
+  stray_run& stray = minion.strays.at(run);
+  if (stray.listed_by == instant()) {
+    counters_.Add("sched_orphans_stopped");
+    const auto job = jobs_.find(run.task.job);
+    LogEvent("orphan_stopped", run.task.job, FormatRun(run), minion.report.id,
+             std::string(job == jobs_.end() ? "unknown job"
+                                            : GetName(job->second.state)));
+  }
+  stray.listed_by = std::max(stray.listed_by, sent);
 }
 
-// An unanswered start may be executed late, also by a later incarnation under
-// the same id, which knows of no stop. The incarnation that it was sent to
-// refuses it, since its run was stopped there or is listed.
-void work_core::impl::ExpectLateStart(instant now,
-                                      const minion_incarnation& recipient) {
-  minion_entry* minion = FindMinion(recipient.id);
+// An unanswered start may be executed late. The incarnation that it was sent to
+// refuses it once its run was stopped or has ended there; a later one under the
+// same id knows of neither, and has to be told.
+void work_core::impl::ExpectLateStart(instant now, const start_order& order) {
+  minion_entry* minion = FindMinion(order.minion.id);
   if (minion == nullptr) {
     return;
   }
-  minion->late_starts_end = now + kMaxOrderDelay;
-  if (minion->report.incarnation_unix_ms != recipient.incarnation_unix_ms) {
-    minion->watched_until = minion->late_starts_end;
-    MarkDirty(*minion);
+  std::erase_if(minion->unanswered_starts,
+                [now](const auto& item) { return item.second <= now; });
+  minion->unanswered_starts[order.run] = now + kMaxOrderDelay;
+  if (minion->report.incarnation_unix_ms != order.minion.incarnation_unix_ms &&
+      !minion->members.contains(order.run)) {
+    AddStray(now, *minion, order.run, now + kMaxOrderDelay);
+  }
+}
+
+// Tells a restarted minion to refuse late starts to its earlier incarnation.
+// Runs with a unit are looked for, or stopped, by themselves.
+void work_core::impl::StopLateStarts(instant now, minion_entry& minion) {
+  for (const auto& [run, end] : minion.unanswered_starts) {
+    if (now < end && !minion.members.contains(run)) {
+      AddStray(now, minion, run, end);
+    }
   }
 }
 
 // Answers may overtake each other, so that only a poll which was sent after
 // the one that listed a run shows that it is over.
-void work_core::impl::DropStraysNotListed(instant sent,
+void work_core::impl::DropStraysNotListed(instant now,
+                                          instant sent,
                                           const std::set<run_key>& listed,
                                           minion_entry& minion) {
   std::erase_if(minion.strays, [&](const auto& item) {
-    return !listed.contains(item.first) && item.second.listed_by < sent;
+    const auto& [run, stray] = item;
+    return !listed.contains(run) && stray.listed_by < sent &&
+           stray.expected_until <= now;
   });
 }
 
@@ -493,13 +519,11 @@
     }
     return;
   }
-  if (minion.NeedsPolling(now) && !minion.is_poll_in_flight &&
+  if (minion.NeedsPolling() && !minion.is_poll_in_flight &&
       now >= minion.next_poll) {
     const duration wait = PollWait(now, minion);
     if (!minion.strays.empty()) {
       minion.next_poll = now + kExtraPollInterval;
-    } else if (minion.members.empty() && now < minion.watched_until) {
-      minion.next_poll = now + kWatchInterval;
     } else if (!minion.pending_ends.empty()) {
       minion.next_poll = now + kPendingEndsPollInterval;
     }
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -244,7 +244,7 @@
              order.minion.id, std::string(GetName(outcome)));
   }
   if (outcome == order_outcome::kUnknown) {
-    ExpectLateStart(now, order.minion);
+    ExpectLateStart(now, order);
   }
   if (ref.member == nullptr ||
       !ref.member->incarnation.IsSameIncarnation(order.minion)) {
@@ -573,8 +573,13 @@
 void work_core::impl::StopStrays(instant now) {
   std::erase_if(minions_with_strays_, [&](const std::string& id) {
     minion_entry& minion = MinionOf(id);
+    std::erase_if(minion.strays, [now](const auto& item) {
+      const stray_run& stray = item.second;
+      return stray.listed_by == instant() && stray.expected_until <= now;
+    });
     for (auto& [run, stray] : minion.strays) {
-      if (now >= stray.next_stop) {
+      if (now >= stray.next_stop &&
+          (minion.is_listed || minion.is_responsive)) {
         stray.next_stop = now + kStopResendInterval;
         actions_.stops.push_back(
             {{id, minion.report.incarnation_unix_ms, minion.report.address},
@@ -586,6 +591,19 @@
   });
 }
 
+// The minion refuses later starts of the run.
+void work_core::impl::HandleStrayStopped(const stop_order& order) {
+  minion_entry* minion = FindMinion(order.minion.id);
+  if (minion == nullptr ||
+      minion->report.incarnation_unix_ms != order.minion.incarnation_unix_ms) {
+    return;
+  }
+  const auto stray = minion->strays.find(order.run);
+  if (stray != minion->strays.end()) {
+    stray->second.expected_until = instant();
+  }
+}
+
 // Logs, once, a run that outlives its stop.
 void work_core::impl::LogIfStopOverdue(instant now, const member_ref& ref) {
   unit_member& member = *ref.member;
@@ -609,12 +627,17 @@
                                        const stop_order& order,
                                        order_outcome outcome) {
   counters_.Add("sched_stop_" + std::string(GetName(outcome)));
+  const bool is_acknowledged =
+      outcome == order_outcome::kDone || outcome == order_outcome::kStaleRun;
+  if (is_acknowledged) {
+    HandleStrayStopped(order);
+  }
   const member_ref ref = FindMember(order.run, order.minion.id);
   if (ref.member == nullptr || ref.member->phase != member_phase::kStopping ||
       !ref.member->incarnation.IsSameIncarnation(order.minion)) {
     return;
   }
-  if (outcome == order_outcome::kDone || outcome == order_outcome::kStaleRun) {
+  if (is_acknowledged) {
     if (!ref.member->is_stop_acknowledged) {
       ref.member->is_stop_acknowledged = true;
       minion_entry& minion = MinionOf(order.minion.id);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -274,11 +274,14 @@
   std::set<std::string> denied_minions;   ///< Must not run the step.
 };
 
-/// A run that a minion lists and that no unit stands for: it was started late,
-/// or an earlier owner started it.
+/// A run that no unit stands for and that its minion lists or may start: its
+/// start is executed late, or an earlier owner sent it.
 struct stray_run {
+  instant since;      ///< When it became known.
   instant listed_by;  ///< When the poll was sent whose answer lists it.
   instant next_stop;  ///< Earliest time of the next stop.
+  /// Until when its minion may start it. Over once a stop is acknowledged.
+  instant expected_until;
 };
 
 /// State of one minion as the core knows it.
@@ -297,7 +300,7 @@
   resource_amounts used;            ///< Reserved by all members.
   std::map<run_key, member_ref> members;  ///< Runs that are not terminated.
   member_counts counts;                   ///< Of `members`.
-  std::map<run_key, stray_run> strays;    ///< Until they are listed no more.
+  std::map<run_key, stray_run> strays;    ///< By run.
   /// Highest number of an end whose effects are durable.
   std::int64_t last_durable_end = 0;
   std::int64_t last_processed_end = 0;           ///< Highest processed number.
@@ -307,12 +310,10 @@
   bool is_extra_poll_in_flight = false;
   instant next_poll;        ///< Earliest time of the next regular poll.
   instant next_extra_poll;  ///< Earliest time of the next extra poll.
-  /// When no unanswered start to the minion, under whichever incarnation, can
-  /// be executed any more.
-  instant late_starts_end;
-  /// Until when it is polled without having runs: its incarnation may execute
-  /// starts that were sent to an earlier one.
-  instant watched_until;
+  /// Runs whose start was not answered, with the time until which it may be
+  /// executed: by a later incarnation under the same id as well, which knows of
+  /// no stop.
+  std::map<run_key, instant> unanswered_starts;
   instant drain_deadline;  ///< Earliest time at which a draining minion leaves.
   bool is_cordoned = false;     ///< Receives no tasks: its upkeep is due.
   int filler_percent = 100;     ///< Speed limit of its fillers.
@@ -324,10 +325,9 @@
   /// When the minion must be handled if no event occurs.
   instant wakeup_at = instant::max();
 
-  /// Whether it needs polls: it has runs or may get some, or has ends to
-  /// acknowledge.
-  bool NeedsPolling(instant now) const {
-    return !members.empty() || !strays.empty() || now < watched_until ||
+  /// Whether it needs polls: it has runs, or ends to acknowledge.
+  bool NeedsPolling() const {
+    return !members.empty() || !strays.empty() ||
            last_acknowledged_end < last_processed_end;
   }
 
--- a/src/sched/work_wakeups.cc
+++ b/src/sched/work_wakeups.cc
@@ -82,7 +82,7 @@
   const auto wake_at = [&due](instant time) { due = std::min(due, time); };
   const bool can_poll = minion.has_answered && minion.is_responsive;
   const bool should_poll = can_poll
-                               ? minion.NeedsPolling(now)
+                               ? minion.NeedsPolling()
                                : minion.is_listed || !minion.members.empty();
   if (!minion.report.address.empty() && should_poll &&
       !minion.is_poll_in_flight) {
