--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -25,8 +25,10 @@
 void AddStrayRun(fake_fleet& fleet,
                  const std::string& minion,
                  const std::string& job) {
-  fleet.minions.at(minion).running[{{job, 0, 0, 0}, 1}] = {
-      "", 60s, fleet.now, false, {}};
+  fake_minion& holder = fleet.minions.at(minion);
+  holder.running[{{job, 0, 0, 0}, 1}] = {"", 60s, fleet.now, false, {}};
+  holder.lease = std::max(holder.lease.value_or(fleet.now),
+                          fleet.now + fake_fleet::kLease);
 }
 
 TEST_CASE("A run of a cancelled job that no unit stands for is stopped") {
@@ -72,6 +74,24 @@
   }
 }
 
+TEST_CASE(
+    "A run that no unit stands for and that outlives its stops is counted") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("b", 1, 8, {100'000, 200'000, 7}, 60s));
+  accepted_job job = OneStep("a", 1, 1, kSmall, 60s);
+  job.spec.occurrences = 1;
+  job.spec.first_due_unix_ms =
+      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
+  fleet.Submit(job);
+  fleet.Run(1s);
+  const std::string minion = fleet.minions.begin()->first;
+  AddStrayRun(fleet, minion, "a");
+  fleet.minions.at(minion).refuses_stops = true;
+  fleet.Run(6s);
+  CHECK(fleet.CountRunning("a") == 1);
+  CHECK(fleet.counters.Get("sched_stops_overdue") == 1);
+}
+
 TEST_CASE("Nothing is started beside a run that no unit stands for") {
   fake_fleet::options options;
   options.minions = 1;
@@ -185,6 +205,13 @@
   core.OnPolled(start + 21ms, start, actions.polls[0], without_runs);
   CHECK(core.Decide(start + 25ms, 0).stops.size() == 1);
 
+  SECTION("or once a later one lists it that was answered earlier") {
+    with_stray.clock_ms = 19;
+    without_runs.clock_ms = 30;
+    core.OnPolled(start + 40ms, start + 30ms, actions.polls[0], without_runs);
+    core.OnPolled(start + 41ms, start + 32ms, actions.polls[0], with_stray);
+    CHECK(core.Decide(start + 500ms, 0).stops.empty());
+  }
   SECTION("and no longer once a later one does not list it") {
     core.OnPolled(start + 40ms, start + 30ms, actions.polls[0], without_runs);
     CHECK(core.Decide(start + 500ms, 0).stops.empty());
@@ -210,6 +237,13 @@
     fleet.Run(fake_fleet::kLease + 500ms);
     CHECK(fleet.CountRunning("a") == 0);
   }
+  SECTION("nor by work that is placed there and waits for its room") {
+    fleet.Submit(OneStep("b", 0, 8, kWholeMinion, 60s));
+    fleet.Cancel("a");
+    fleet.Run(fake_fleet::kLease + 2s);
+    CHECK(fleet.CountRunning("a") == 0);
+    CHECK(fleet.CountRunning("b") == 8);
+  }
   SECTION("unless another run there goes on") {
     fleet.Submit(OneStep("b", 1, 8, kWholeMinion, 60s));
     fleet.Run(1s);
@@ -264,6 +298,12 @@
     fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 0);
   }
+  SECTION("at once by the next owner, also if its job goes on") {
+    fleet.lost_stops = 0;
+    fleet.ReplaceOwner();
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 1);
+  }
   SECTION("at once if its job goes on, whose other task runs on") {
     fleet.Run(1s);
     CHECK(fleet.CountRunning("a") == 1);
