Extend no lease for a run whose start was not sent

A run that must end, at a minion that refuses stops, could be kept alive (UNASKED) by a unit that waited for its room. Cause: a poll extended the leases as long as some member was not being stopped, and a planned member counted. It has no run yet, and its start brings a lease. Evidence: unwanted_run_test "A run that must end is not kept alive by the polls of its minion", section "nor by work that is placed there and waits for its room", failed before. Change: planned members do not count.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -543,13 +543,16 @@
   }
 }
 
-// A poll extends the leases of all runs on its minion. It must not if none of
-// them has to go on, since stops may fail for as long.
+// A poll extends the leases of all runs on its minion. If none of them has to
+// go on, their leases bound them although their stops fail. A planned run
+// brings its lease with its start.
 bool work_core::impl::HasRunToKeep(const minion_entry& minion) {
-  return std::any_of(
-      minion.members.begin(), minion.members.end(), [](const auto& item) {
-        return item.second.member->phase != member_phase::kStopping;
-      });
+  return std::any_of(minion.members.begin(), minion.members.end(),
+                     [](const auto& item) {
+                       const member_phase phase = item.second.member->phase;
+                       return phase != member_phase::kPlanned &&
+                              phase != member_phase::kStopping;
+                     });
 }
 
 // A lease is extended only if the last poll was answered, so that the time at
