Wait only for gangs to end by themselves

After a change of owner, a run of a task that an earlier run has done went on for 3 s. Cause: the next owner knows only that the unit is done, and waited for its run to end by itself. Only the other members of a gang that is done do. Evidence: unwanted_run_test "A run whose task was done earlier is stopped with its job", section "at once by the next owner, also if its job goes on", failed before. Change: the wait is for gangs only.

--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -326,7 +326,7 @@
                  std::to_string(std::llround(lost)),
              cause == close_cause::kDone && unit.width == 1);
   }
-  const bool ends_by_itself = unit.is_done &&
+  const bool ends_by_itself = unit.is_done && unit.width > 1 &&
                               cause != close_cause::kCancelled &&
                               cause != close_cause::kDoneEarlier;
   const instant due = ends_by_itself ? now + kDoneStopDelay : now;
