Ignore a list of runs that a later one has overtaken

A run that had ended was taken for one that no unit stands for: its minion took nothing for up to two seconds, and units that were placed there were placed anew. Cause: two polls of a minion may be in flight, and their answers were handled as they arrived. The list of the earlier answer still names what the end in the later one closed. Evidence: unwanted_run_test "A stray run is stopped although an older poll does not list it", section "or once a later one lists it that was answered earlier", failed before. Change: lists are handled in the order of the minion's clock; one that is older by up to 5 s is ignored (sched_look_overtaken). Ends are numbered and are handled as before.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -32,9 +32,18 @@
 constexpr double kClockRateTolerance = 1.03;
 // Network and queueing delay, added to the longest lease.
 constexpr duration kLeaseExpiryMargin = std::chrono::milliseconds(500);
+// Longest time by which an answer is overtaken: polls are given up sooner.
+constexpr std::int64_t kMaxOvertakenMs = 5000;
 // An answer that lists this number of ends may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
 
+// Whether a list of runs that the minion made later was handled already. A
+// clock that is further back is another one.
+bool IsOvertaken(const minion_entry& minion, const poll_answer& answer) {
+  const std::int64_t lead_ms = minion.list_clock_ms - answer.clock_ms;
+  return lead_ms > 0 && lead_ms <= kMaxOvertakenMs;
+}
+
 bool MayStartLate(instant now, const minion_entry& minion) {
   return std::any_of(minion.unanswered_starts.begin(),
                      minion.unanswered_starts.end(),
@@ -134,6 +143,7 @@
   minion.last_durable_end = 0;
   minion.last_processed_end = 0;
   minion.last_acknowledged_end = 0;
+  minion.list_clock_ms = 0;
   minion.pending_ends.clear();
   minions_with_pending_ends_.erase(minion.report.id);
   minion.strays.clear();
@@ -245,7 +255,12 @@
   }
   polled_minions_.insert(order.minion.id);
   HandleEnds(now, *minion, answer);
-  HandleRunningList(now, sent, *minion, answer);
+  if (IsOvertaken(*minion, answer)) {
+    counters_.Add("sched_look_overtaken");
+  } else {
+    minion->list_clock_ms = answer.clock_ms;
+    HandleRunningList(now, sent, *minion, answer);
+  }
   AcknowledgeDurableEnds(*minion);
 }
 
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -293,6 +293,8 @@
   bool is_responsive = false;  ///< Its last poll was answered.
   instant silent_since;        ///< When a poll was first not answered.
   std::int64_t clock_ms = 0;   ///< Minion's clock, read at `clock_at`.
+  /// Minion's clock at the latest list of its runs that was handled.
+  std::int64_t list_clock_ms = 0;
   instant clock_at;
   /// When an order that extends the leases on the minion was last sent.
   instant last_lease_grant;
