Log strays that outlive their stop

Cause: stop_overdue and its counter looked at runs of units only, so that a stray whose stops fail left one line, orphan_stopped. Evidence: unwanted_run_test "A run that no unit stands for and that outlives its stops is counted" failed before. Change: strays are logged and counted in the same way; the line says whether the minion lists the run or may still start it.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -168,6 +168,10 @@
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
   void LogIfStopOverdue(instant now, const member_ref& ref);
   void StopStrays(instant now);
+  void LogIfStrayOverdue(instant now,
+                         const minion_entry& minion,
+                         const run_key& run,
+                         stray_run& stray);
   void HandleStrayStopped(const stop_order& order);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -578,6 +578,7 @@
       return stray.listed_by == instant() && stray.expected_until <= now;
     });
     for (auto& [run, stray] : minion.strays) {
+      LogIfStrayOverdue(now, minion, run, stray);
       if (now >= stray.next_stop &&
           (minion.is_listed || minion.is_responsive)) {
         stray.next_stop = now + kStopResendInterval;
@@ -591,6 +592,21 @@
   });
 }
 
+void work_core::impl::LogIfStrayOverdue(instant now,
+                                        const minion_entry& minion,
+                                        const run_key& run,
+                                        stray_run& stray) {
+  if (stray.is_overdue || now < stray.since + kOverdueStopTime) {
+    return;
+  }
+  stray.is_overdue = true;
+  counters_.Add("sched_stops_overdue");
+  LogEvent("stop_overdue", run.task.job, FormatRun(run), minion.report.id,
+           std::string(stray.listed_by == instant() ? "not listed"
+                                                    : "without a unit") +
+               (minion.is_responsive ? ", minion answers" : ", minion silent"));
+}
+
 // The minion refuses later starts of the run.
 void work_core::impl::HandleStrayStopped(const stop_order& order) {
   minion_entry* minion = FindMinion(order.minion.id);
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -282,6 +282,7 @@
   instant next_stop;  ///< Earliest time of the next stop.
   /// Until when its minion may start it. Over once a stop is acknowledged.
   instant expected_until;
+  bool is_overdue = false;  ///< Logged as such.
 };
 
 /// State of one minion as the core knows it.
