Test late starts beside a next run, and jobs with runs that may go on

Cause: with the stop of a refused copy taken out, or the condition that a job with runs is kept, no test failed (trials of guards taken out one by one). Change: two cases of unwanted_run_test; a minion of the tests can refuse starts.

--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -472,6 +472,9 @@
     if (IsFenced(minion, order.fence)) {
       return order_outcome::kFenced;
     }
+    if (minion.refuses_starts) {
+      return order_outcome::kUnavailable;
+    }
     if (order.lease_expiry_clock_ms <= minion.Clock(now)) {
       return order_outcome::kLeaseExpired;
     }
--- a/tests/fake_minion.h
+++ b/tests/fake_minion.h
@@ -27,6 +27,7 @@
   bool is_up = true;
   bool is_partitioned = false;  ///< Orders and answers are lost.
   bool fails_all_runs = false;  ///< Each of its runs fails.
+  bool refuses_starts = false;  ///< Starts have no effect there.
   bool refuses_stops = false;   ///< Stops have no effect there.
   instant last_cut_off;         ///< When it was last unreachable.
   double speed = 1;             ///< Speed of its runs; 0: stalled.
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -329,6 +329,37 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE("A late start does not run beside the next run of its task") {
+  fake_fleet fleet({});
+  fleet.late_starts = 1;
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 20s));
+  while (fleet.sent_starts.empty()) {
+    fleet.Run(fake_fleet::kStep);
+  }
+  fake_minion& minion = fleet.minions.at(fleet.sent_starts.front().minion.id);
+  minion.refuses_starts = true;
+  fleet.Run(1s);
+  minion.refuses_starts = false;
+  REQUIRE(fleet.starts["a"] == 1);
+  fleet.Run(10s);
+  CHECK(fleet.CountRunning("a") == 1);
+  CheckNoViolations(fleet);
+}
+
+TEST_CASE("A job is not forgotten while one of its runs may go on") {
+  fake_fleet fleet({});
+  fleet.Submit(OneStep("a", 1, 2, kWholeMinion, 60s));
+  fleet.Run(1s);
+  fleet.minions.at(BusyMinion(fleet)).is_partitioned = true;
+  fleet.Cancel("a");
+  fleet.Run(1s);
+  REQUIRE(fleet.CountRunning("a") == 1);
+  CHECK(fleet.core->BeginErasing(fleet.now + 200s, 10).empty());
+  fleet.Run(8s);
+  CHECK(fleet.CountRunning("a") == 0);
+  CHECK(fleet.core->BeginErasing(fleet.now + 200s, 10).size() == 1);
+}
+
 TEST_CASE("Under random faults no run of a cancelled job goes on") {
   const int seed = GENERATE(range(1, 17), 189);
   INFO("seed " << seed);
