--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -311,6 +311,47 @@
   }
 }
 
+TEST_CASE("A gang whose earlier run is done is stopped at once") {
+  fake_fleet fleet({});
+  accepted_job job = Gang("a", 1, 2);
+  job.spec.steps.push_back(job.spec.steps[0]);
+  job.spec.steps[1].is_gang = false;
+  job.spec.steps[1].count = 1;
+  job.spec.steps[1].after = {0};
+  job.spec.steps[1].estimate = 60s;
+  fleet.Submit(job);
+  fleet.Run(500ms);
+  REQUIRE(fleet.CountRunning("a") == 2);
+  for (auto& [id, minion] : fleet.minions) {
+    minion.is_partitioned = !minion.running.empty();
+  }
+  fleet.Run(8s);
+  REQUIRE(fleet.starts["a"] == 4);  // The lease of its first run has expired.
+  for (auto& [id, minion] : fleet.minions) {
+    for (auto& [run, held] : minion.running) {
+      held.remaining = 60s;
+    }
+  }
+  fleet.lost_stops = GENERATE(0, 6);
+  for (auto& [id, minion] : fleet.minions) {
+    minion.is_partitioned = false;
+  }
+  fleet.Run(400ms);
+  REQUIRE(fleet.counters.Get("sched_late_done") > 0);
+
+  SECTION("so that only the next step goes on") {
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 1);
+  }
+  SECTION("also if the next owner learns of a cancelling later") {
+    fleet.ReplaceOwner();
+    fleet.Run(100ms);
+    fleet.Cancel("a");
+    fleet.Run(1s);
+    CHECK(fleet.CountRunning("a") == 0);
+  }
+}
+
 TEST_CASE("The other runs of a job that fails are stopped") {
   fake_fleet fleet({});
   accepted_job job = OneStep("a", 1, 4, kWholeMinion, 60s);
