Restart minions amid a stop in the test of late starts

Change: the case restarts the minion 5 to 30 ms after the cancelling as well, around the answer to the stop.

--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -154,7 +154,8 @@
     fleet.Run(fake_fleet::kStep);
   }
   fleet.Cancel("a");
-  fleet.Run(200ms);
+  // From before the stop is acknowledged to after the run is settled.
+  fleet.Run(GENERATE(5ms, 10ms, 15ms, 20ms, 25ms, 30ms, 200ms));
   fleet.RestartMinion(fleet.sent_starts.front().minion.id);
   fleet.SendMinionList();
   fleet.Run(15s);
