Keep a stray until a poll after its stop shows that it is over

A minion could be brought over its capacity (LIMIT) by work beside a late start that was being stopped. Cause: an acknowledged stop was taken as proof that nothing runs. The minion may have executed the late start between its last list and the stop, and a run takes a stop time to end. Evidence: unwanted_run_test "A minion takes nothing until a late start can have no run there", section "but not one that was sent before", failed before. Change: a stray is dropped only by a poll that was sent after the answer to its stop, as members are. Polls of a minion with a stray do not wait, so that it is usable again at once; a further unanswered copy extends the time; stop_overdue counts strays only if a stop was sent, and its words say what is known; the health is called "has a stray run".

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -172,7 +172,7 @@
                          const minion_entry& minion,
                          const run_key& run,
                          stray_run& stray);
-  void HandleStrayStopped(const stop_order& order);
+  void HandleStrayStopped(instant now, const stop_order& order);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
                             run_end how);
@@ -232,7 +232,7 @@
   void AddStray(instant now,
                 minion_entry& minion,
                 const run_key& run,
-                instant expected_until);
+                instant may_start_until);
   void StopLateStarts(instant now, minion_entry& minion);
   static void DropStraysNotListed(instant now,
                                   instant sent,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -32,7 +32,7 @@
 constexpr double kClockRateTolerance = 1.03;
 // Network and queueing delay, added to the longest lease.
 constexpr duration kLeaseExpiryMargin = std::chrono::milliseconds(500);
-// Longest time by which an answer is overtaken: polls are given up sooner.
+// Longest time by which an answer can be overtaken: polls time out sooner.
 constexpr std::int64_t kMaxOvertakenMs = 5000;
 // An answer that lists this number of ends may be incomplete.
 constexpr std::size_t kMaxListedEnds = 500;
@@ -364,13 +364,16 @@
 }
 
 // Stops are sent to a stray run, and its minion is polled and takes nothing
-// else, until the minion no longer lists it nor may start it.
+// else, until the minion neither lists it nor may start it.
 void work_core::impl::AddStray(instant now,
                                minion_entry& minion,
                                const run_key& run,
-                               instant expected_until) {
-  if (minion.strays.try_emplace(run, stray_run{now, {}, now, expected_until})
-          .second) {
+                               instant may_start_until) {
+  const auto [stray, is_new] = minion.strays.try_emplace(run);
+  stray->second.may_start_until =
+      std::max(stray->second.may_start_until, may_start_until);
+  if (is_new) {
+    stray->second.since = now;
     minions_with_strays_.insert(minion.report.id);
     MarkDirty(minion);
   }
@@ -419,16 +422,18 @@
   }
 }
 
-// Answers may overtake each other, so that only a poll which was sent after
-// the one that listed a run shows that it is over.
+// Only a poll that was sent after the one that listed a run, and after the
+// answer to its stop, shows that it is over.
 void work_core::impl::DropStraysNotListed(instant now,
                                           instant sent,
                                           const std::set<run_key>& listed,
                                           minion_entry& minion) {
   std::erase_if(minion.strays, [&](const auto& item) {
     const auto& [run, stray] = item;
-    return !listed.contains(run) && stray.listed_by < sent &&
-           stray.expected_until <= now;
+    const bool can_start = stray.is_stop_acknowledged
+                               ? stray.stop_acknowledged_at > sent
+                               : stray.may_start_until > now;
+    return !listed.contains(run) && stray.listed_by < sent && !can_start;
   });
 }
 
@@ -509,7 +514,8 @@
 // polls, a poll does not wait and is repeated after the same time.
 duration work_core::impl::PollWait(instant now,
                                    const minion_entry& minion) const {
-  if (!minion.pending_ends.empty() || minion.members.empty()) {
+  if (!minion.pending_ends.empty() || minion.members.empty() ||
+      !minion.strays.empty()) {
     return duration(0);
   }
   if (minion.HasServingAndFillers()) {
@@ -618,7 +624,7 @@
     return "silent";
   }
   if (!minion.strays.empty()) {
-    return "runs a stray";
+    return "has a stray run";
   }
   if (minion.counts.isolated > 0) {
     return kIsolating;
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -575,19 +575,25 @@
     minion_entry& minion = MinionOf(id);
     std::erase_if(minion.strays, [now](const auto& item) {
       const stray_run& stray = item.second;
-      return stray.listed_by == instant() && stray.expected_until <= now;
+      return stray.listed_by == instant() && !stray.is_stop_acknowledged &&
+             stray.may_start_until <= now;
     });
     for (auto& [run, stray] : minion.strays) {
       LogIfStrayOverdue(now, minion, run, stray);
       if (now >= stray.next_stop &&
           (minion.is_listed || minion.is_responsive)) {
         stray.next_stop = now + kStopResendInterval;
+        ++stray.stops_sent;
         actions_.stops.push_back(
             {{id, minion.report.incarnation_unix_ms, minion.report.address},
              run,
              fence_});
       }
     }
+    if (minion.strays.empty()) {
+      MarkDirty(minion);
+      should_place_ = true;
+    }
     return minion.strays.empty();
   });
 }
@@ -596,27 +602,29 @@
                                         const minion_entry& minion,
                                         const run_key& run,
                                         stray_run& stray) {
-  if (stray.is_overdue || now < stray.since + kOverdueStopTime) {
+  if (stray.is_overdue || stray.stops_sent == 0 ||
+      now < stray.since + kOverdueStopTime) {
     return;
   }
   stray.is_overdue = true;
   counters_.Add("sched_stops_overdue");
   LogEvent("stop_overdue", run.task.job, FormatRun(run), minion.report.id,
-           std::string(stray.listed_by == instant() ? "not listed"
-                                                    : "without a unit") +
+           std::string(stray.listed_by == instant() ? "may start late"
+                                                    : "listed without a unit") +
                (minion.is_responsive ? ", minion answers" : ", minion silent"));
 }
 
 // The minion refuses later starts of the run.
-void work_core::impl::HandleStrayStopped(const stop_order& order) {
+void work_core::impl::HandleStrayStopped(instant now, const stop_order& order) {
   minion_entry* minion = FindMinion(order.minion.id);
   if (minion == nullptr ||
       minion->report.incarnation_unix_ms != order.minion.incarnation_unix_ms) {
     return;
   }
   const auto stray = minion->strays.find(order.run);
-  if (stray != minion->strays.end()) {
-    stray->second.expected_until = instant();
+  if (stray != minion->strays.end() && !stray->second.is_stop_acknowledged) {
+    stray->second.is_stop_acknowledged = true;
+    stray->second.stop_acknowledged_at = now;
   }
 }
 
@@ -646,7 +654,7 @@
   const bool is_acknowledged =
       outcome == order_outcome::kDone || outcome == order_outcome::kStaleRun;
   if (is_acknowledged) {
-    HandleStrayStopped(order);
+    HandleStrayStopped(now, order);
   }
   const member_ref ref = FindMember(order.run, order.minion.id);
   if (ref.member == nullptr || ref.member->phase != member_phase::kStopping ||
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -280,8 +280,11 @@
   instant since;      ///< When it became known.
   instant listed_by;  ///< When the poll was sent whose answer lists it.
   instant next_stop;  ///< Earliest time of the next stop.
-  /// Until when its minion may start it. Over once a stop is acknowledged.
-  instant expected_until;
+  int stops_sent = 0;
+  bool is_stop_acknowledged = false;
+  instant stop_acknowledged_at;  ///< Time of the last answer to a stop.
+  /// Until when its minion may start it, unless a stop is acknowledged.
+  instant may_start_until;
   bool is_overdue = false;  ///< Logged as such.
 };
 
@@ -303,7 +306,7 @@
   resource_amounts used;            ///< Reserved by all members.
   std::map<run_key, member_ref> members;  ///< Runs that are not terminated.
   member_counts counts;                   ///< Of `members`.
-  std::map<run_key, stray_run> strays;    ///< By run.
+  std::map<run_key, stray_run> strays;
   /// Highest number of an end whose effects are durable.
   std::int64_t last_durable_end = 0;
   std::int64_t last_processed_end = 0;           ///< Highest processed number.
@@ -328,7 +331,8 @@
   /// When the minion must be handled if no event occurs.
   instant wakeup_at = instant::max();
 
-  /// Whether it needs polls: it has runs, or ends to acknowledge.
+  /// Whether it needs polls: it has runs, may start some late, or has ends to
+  /// acknowledge.
   bool NeedsPolling() const {
     return !members.empty() || !strays.empty() ||
            last_acknowledged_end < last_processed_end;
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <random>
 #include <string>
+#include <vector>
 
 #include "tests/fleet_checks.h"
 
@@ -183,6 +184,46 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE("A minion takes nothing until a late start can have no run there") {
+  counter_table counters;
+  const instant start{std::chrono::hours(1)};
+  work_core core({}, 1, start, counters);
+  core.OnConfig(std::make_shared<service_config>());
+  minion_report report;
+  report.id = "minion";
+  report.incarnation_unix_ms = 1000;
+  report.service = "lab";
+  report.address = "10.0.0.1:80";
+  core.OnMinions(start, {report});
+  const work_actions actions = core.Decide(start, 0);
+  REQUIRE(actions.polls.size() == 1);
+  poll_answer without_runs;
+  without_runs.outcome = order_outcome::kDone;
+  without_runs.incarnation_unix_ms = 1000;
+  const auto health = [&] { return core.Minions().at(0).health; };
+  core.OnPolled(start + 5ms, start, actions.polls[0], without_runs);
+  CHECK(health() == "usable");
+  start_order earlier;
+  earlier.minion = {"minion", 500, report.address};
+  earlier.run = {{"a", 0, 0, 0}, 1};
+  core.OnStarted(start + 10ms, earlier, {order_outcome::kUnknown});
+  CHECK(health() == "has a stray run");
+  const work_actions stops = core.Decide(start + 15ms, 0);
+  REQUIRE(stops.stops.size() == 1);
+  core.OnStopped(start + 25ms, stops.stops[0], {order_outcome::kDone});
+
+  SECTION("as a poll shows that was sent after the answer to the stop") {
+    core.OnPolled(start + 30ms, start + 26ms, actions.polls[0], without_runs);
+    core.Decide(start + 35ms, 0);
+    CHECK(health() == "usable");
+  }
+  SECTION("but not one that was sent before") {
+    core.OnPolled(start + 30ms, start + 15ms, actions.polls[0], without_runs);
+    core.Decide(start + 35ms, 0);
+    CHECK(health() == "has a stray run");
+  }
+}
+
 // Answers on different connections overtake each other.
 TEST_CASE("A stray run is stopped although an older poll does not list it") {
   counter_table counters;
