Stop late starts of earlier incarnations after a lease has expired too

A task of a cancelled job could run (UNASKED), or a task beside its next run (TWICE), by a start that was executed late by the next incarnation of a minion that was silent beyond a lease. Cause: runs with a unit are stopped by their unit, so that a restarted minion was not told of them as strays. When the lease ends the unit's run first, nothing was left to tell the minion when it answers again; and a start that the new incarnation executes opens a lease on a clock that began anew. Change: unanswered starts become strays when the lease ends their runs as well.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -498,6 +498,8 @@
       HandleTerminatedMember(now, ref, close_cause::kLeaseExpired);
     }
   }
+  // The leases of an earlier incarnation do not bound what this one may start.
+  StopLateStarts(now, minion);
 }
 
 std::int64_t work_core::impl::LeaseExpiryOnMinionClockMs(
--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -184,6 +184,36 @@
   CheckNoViolations(fleet);
 }
 
+TEST_CASE(
+    "A late start is stopped on a minion that was silent beyond a lease") {
+  fake_fleet::options options;
+  options.refuses_orders_to_earlier_incarnations = false;
+  fake_fleet fleet(options);
+  fleet.late_starts = 1;
+  fleet.min_lateness = 9s;
+  fleet.max_lateness = 9s;
+  fleet.keeps_id_after_crash = true;
+  fleet.Submit(OneStep("a", 1, 1, kSmall, 60s));
+  fleet.Run(100ms);
+  REQUIRE(fleet.sent_starts.size() == 1);
+  fleet.Cancel("a");
+  fake_minion& minion = fleet.minions.at(fleet.sent_starts.front().minion.id);
+  fleet.CrashMinion(minion.report.id);
+  minion.is_partitioned = true;
+  fleet.Run(3010ms);
+  REQUIRE(minion.is_up);
+  std::vector<minion_report> listed;
+  for (const auto& [id, other] : fleet.minions) {
+    listed.push_back(other.report);
+  }
+  fleet.core->OnMinions(fleet.now, listed);
+  fleet.Run(4s);
+  minion.is_partitioned = false;
+  fleet.Run(15s);
+  CHECK(fleet.CountRunning("a") == 0);
+  CheckNoViolations(fleet);
+}
+
 TEST_CASE("A minion takes nothing until a late start can have no run there") {
   counter_table counters;
   const instant start{std::chrono::hours(1)};
