Give runs without a unit a file of their own

Change: the functions about strays move to work_strays.cc unchanged; two constants that both sides use are in work_impl.h. No behaviour changes.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -27,10 +27,17 @@
 /// Health of a minion that is kept from other tasks by an isolated run.
 inline constexpr std::string_view kIsolating = "isolates a suspect";
 
+/// Interval at which a stop is sent until it is acknowledged.
+inline constexpr duration kStopResendInterval = std::chrono::milliseconds(150);
+/// Time after which a run that is still being stopped is logged. Stops take
+/// less than a second.
+inline constexpr duration kOverdueStopTime = std::chrono::seconds(2);
+
 /// State and decisions of work_core. work_core.cc processes rows, work_runs.cc
-/// tracks runs, work_minions.cc tracks minions, work_wakeups.cc schedules when
-/// each minion is handled next, work_placing.cc and work_evicting.cc place and
-/// evict, work_records.cc writes records.
+/// tracks runs, work_minions.cc tracks minions, work_strays.cc stops runs that
+/// have no unit, work_wakeups.cc schedules when each minion is handled next,
+/// work_placing.cc and work_evicting.cc place and evict, work_records.cc writes
+/// records.
 ///
 /// The cost of a decision depends on what has changed or is due, not on the
 /// numbers of jobs and minions: units are indexed by phase and minions by their
@@ -167,12 +174,6 @@
   void ReleaseMember(job_entry& job, work_unit& unit, unit_member& member);
   void FinishClosing(instant now, job_entry& job, work_unit& unit);
   void LogIfStopOverdue(instant now, const member_ref& ref);
-  void StopStrays(instant now);
-  void LogIfStrayOverdue(instant now,
-                         const minion_entry& minion,
-                         const run_key& run,
-                         stray_run& stray);
-  void HandleStrayStopped(instant now, const stop_order& order);
   static bool CompletesUnit(const job_entry& job,
                             const work_unit& unit,
                             run_end how);
@@ -224,6 +225,14 @@
                 duration wait,
                 bool is_extra);
   void RemoveDepartedMinions(instant now);
+  std::string_view HealthOf(instant now, const minion_entry& minion) const;
+  bool MayStartAnything(instant now) const;
+  void AvoidMinion(instant now,
+                   minion_entry& minion,
+                   std::string_view reason,
+                   duration base_pause = std::chrono::seconds(2));
+
+  // work_strays.cc
   void KeepStray(instant now,
                  instant sent,
                  minion_entry& minion,
@@ -238,12 +247,12 @@
                                   instant sent,
                                   const std::set<run_key>& listed,
                                   minion_entry& minion);
-  std::string_view HealthOf(instant now, const minion_entry& minion) const;
-  bool MayStartAnything(instant now) const;
-  void AvoidMinion(instant now,
-                   minion_entry& minion,
-                   std::string_view reason,
-                   duration base_pause = std::chrono::seconds(2));
+  void StopStrays(instant now);
+  void LogIfStrayOverdue(instant now,
+                         const minion_entry& minion,
+                         const run_key& run,
+                         stray_run& stray);
+  void HandleStrayStopped(instant now, const stop_order& order);
 
   // work_crashes.cc
   void EndLife(instant now, minion_entry& minion);
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -25,8 +25,6 @@
 constexpr duration kPendingEndsPollInterval = std::chrono::milliseconds(500);
 // Interval of extra polls for runs whose stop was acknowledged.
 constexpr duration kExtraPollInterval = std::chrono::milliseconds(100);
-// Longest time after an unanswered order at which minions execute it.
-constexpr duration kMaxOrderDelay = std::chrono::seconds(12);
 // Minions' clocks may be 2% slow; one more percent covers this process's clock
 // and rounding.
 constexpr double kClockRateTolerance = 1.03;
@@ -44,12 +42,6 @@
   return lead_ms > 0 && lead_ms <= kMaxOvertakenMs;
 }
 
-bool MayStartLate(instant now, const minion_entry& minion) {
-  return std::any_of(minion.unanswered_starts.begin(),
-                     minion.unanswered_starts.end(),
-                     [now](const auto& item) { return now < item.second; });
-}
-
 }  // namespace
 
 minion_entry& work_core::impl::MinionOf(const std::string& id) {
@@ -109,7 +101,7 @@
   for (auto it = minions_.begin(); it != minions_.end();) {
     minion_entry& minion = it->second;
     const bool is_gone = !minion.is_listed && !minion.is_responsive &&
-                         minion.members.empty() && !MayStartLate(now, minion) &&
+                         minion.members.empty() && !minion.MayStartLate(now) &&
                          !minion.is_poll_in_flight &&
                          !minion.is_extra_poll_in_flight;
     if (is_gone) {
@@ -363,80 +355,6 @@
   }
 }
 
-// Stops are sent to a stray run, and its minion is polled and takes nothing
-// else, until the minion neither lists it nor may start it.
-void work_core::impl::AddStray(instant now,
-                               minion_entry& minion,
-                               const run_key& run,
-                               instant may_start_until) {
-  const auto [stray, is_new] = minion.strays.try_emplace(run);
-  stray->second.may_start_until =
-      std::max(stray->second.may_start_until, may_start_until);
-  if (is_new) {
-    stray->second.since = now;
-    minions_with_strays_.insert(minion.report.id);
-    MarkDirty(minion);
-  }
-}
-
-void work_core::impl::KeepStray(instant now,
-                                instant sent,
-                                minion_entry& minion,
-                                const run_key& run) {
-  AddStray(now, minion, run, instant());
-  stray_run& stray = minion.strays.at(run);
-  if (stray.listed_by == instant()) {
-    counters_.Add("sched_orphans_stopped");
-    const auto job = jobs_.find(run.task.job);
-    LogEvent("orphan_stopped", run.task.job, FormatRun(run), minion.report.id,
-             std::string(job == jobs_.end() ? "unknown job"
-                                            : GetName(job->second.state)));
-  }
-  stray.listed_by = std::max(stray.listed_by, sent);
-}
-
-// An unanswered start may be executed late. The incarnation that it was sent to
-// refuses it once its run was stopped or has ended there; a later one under the
-// same id knows of neither, and has to be told.
-void work_core::impl::ExpectLateStart(instant now, const start_order& order) {
-  minion_entry* minion = FindMinion(order.minion.id);
-  if (minion == nullptr) {
-    return;
-  }
-  std::erase_if(minion->unanswered_starts,
-                [now](const auto& item) { return item.second <= now; });
-  minion->unanswered_starts[order.run] = now + kMaxOrderDelay;
-  if (minion->report.incarnation_unix_ms != order.minion.incarnation_unix_ms &&
-      !minion->members.contains(order.run)) {
-    AddStray(now, *minion, order.run, now + kMaxOrderDelay);
-  }
-}
-
-// Tells a restarted minion to refuse late starts to its earlier incarnation.
-// Runs with a unit are looked for, or stopped, by themselves.
-void work_core::impl::StopLateStarts(instant now, minion_entry& minion) {
-  for (const auto& [run, end] : minion.unanswered_starts) {
-    if (now < end && !minion.members.contains(run)) {
-      AddStray(now, minion, run, end);
-    }
-  }
-}
-
-// Only a poll that was sent after the one that listed a run, and after the
-// answer to its stop, shows that it is over.
-void work_core::impl::DropStraysNotListed(instant now,
-                                          instant sent,
-                                          const std::set<run_key>& listed,
-                                          minion_entry& minion) {
-  std::erase_if(minion.strays, [&](const auto& item) {
-    const auto& [run, stray] = item;
-    const bool can_start = stray.is_stop_acknowledged
-                               ? stray.stop_acknowledged_at > sent
-                               : stray.may_start_until > now;
-    return !listed.contains(run) && stray.listed_by < sent && !can_start;
-  });
-}
-
 // Ends are acknowledged in order, once their effects are durable.
 void work_core::impl::AcknowledgeDurableEnds(minion_entry& minion) {
   if (minion.pending_ends.empty()) {
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -15,14 +15,9 @@
 constexpr duration kStartResendInterval = std::chrono::milliseconds(50);
 // Number of times one start is sent before its run is closed.
 constexpr int kMaxStartAttempts = 3;
-// Interval at which a stop is sent until it is acknowledged.
-constexpr duration kStopResendInterval = std::chrono::milliseconds(150);
 // Members of a gang that is done end by themselves. They are stopped only if
 // their end is not listed within this time, which spans two regular polls.
 constexpr duration kDoneStopDelay = std::chrono::seconds(3);
-// Time after which a run that is still being stopped is logged. Stops take less
-// than a second.
-constexpr duration kOverdueStopTime = std::chrono::seconds(2);
 // Delay before a unit whose start was refused is placed again.
 constexpr duration kRefusedStartDelay = std::chrono::milliseconds(200);
 
@@ -570,64 +565,6 @@
   StopStrays(now);
 }
 
-void work_core::impl::StopStrays(instant now) {
-  std::erase_if(minions_with_strays_, [&](const std::string& id) {
-    minion_entry& minion = MinionOf(id);
-    std::erase_if(minion.strays, [now](const auto& item) {
-      const stray_run& stray = item.second;
-      return stray.listed_by == instant() && !stray.is_stop_acknowledged &&
-             stray.may_start_until <= now;
-    });
-    for (auto& [run, stray] : minion.strays) {
-      LogIfStrayOverdue(now, minion, run, stray);
-      if (now >= stray.next_stop &&
-          (minion.is_listed || minion.is_responsive)) {
-        stray.next_stop = now + kStopResendInterval;
-        ++stray.stops_sent;
-        actions_.stops.push_back(
-            {{id, minion.report.incarnation_unix_ms, minion.report.address},
-             run,
-             fence_});
-      }
-    }
-    if (minion.strays.empty()) {
-      MarkDirty(minion);
-      should_place_ = true;
-    }
-    return minion.strays.empty();
-  });
-}
-
-void work_core::impl::LogIfStrayOverdue(instant now,
-                                        const minion_entry& minion,
-                                        const run_key& run,
-                                        stray_run& stray) {
-  if (stray.is_overdue || stray.stops_sent == 0 ||
-      now < stray.since + kOverdueStopTime) {
-    return;
-  }
-  stray.is_overdue = true;
-  counters_.Add("sched_stops_overdue");
-  LogEvent("stop_overdue", run.task.job, FormatRun(run), minion.report.id,
-           std::string(stray.listed_by == instant() ? "may start late"
-                                                    : "listed without a unit") +
-               (minion.is_responsive ? ", minion answers" : ", minion silent"));
-}
-
-// The minion refuses later starts of the run.
-void work_core::impl::HandleStrayStopped(instant now, const stop_order& order) {
-  minion_entry* minion = FindMinion(order.minion.id);
-  if (minion == nullptr ||
-      minion->report.incarnation_unix_ms != order.minion.incarnation_unix_ms) {
-    return;
-  }
-  const auto stray = minion->strays.find(order.run);
-  if (stray != minion->strays.end() && !stray->second.is_stop_acknowledged) {
-    stray->second.is_stop_acknowledged = true;
-    stray->second.stop_acknowledged_at = now;
-  }
-}
-
 // Logs, once, a run that outlives its stop.
 void work_core::impl::LogIfStopOverdue(instant now, const member_ref& ref) {
   unit_member& member = *ref.member;
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -338,6 +338,12 @@
            last_acknowledged_end < last_processed_end;
   }
 
+  /// Whether an unanswered start may still be executed.
+  bool MayStartLate(instant now) const {
+    return std::any_of(unanswered_starts.begin(), unanswered_starts.end(),
+                       [now](const auto& item) { return now < item.second; });
+  }
+
   bool HasServingAndFillers() const {
     return counts.serving > 0 && counts.fillers > 0;
   }
