Build the worlds of the tests of unwanted runs in one place

Cause: two cases repeated the owner with one minion, three the job that is due later. Change: lone_minion and DueLater(); the assertions are the same.

--- a/tests/unwanted_run_test.cc
+++ b/tests/unwanted_run_test.cc
@@ -22,6 +22,17 @@
   return {};
 }
 
+// Returns a job of one task that is not started yet.
+accepted_job DueLater(const fake_fleet& fleet,
+                      const std::string& id,
+                      resource_amounts needs) {
+  accepted_job job = OneStep(id, 1, 1, needs, 60s);
+  job.spec.occurrences = 1;
+  job.spec.first_due_unix_ms =
+      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
+  return job;
+}
+
 // Lets `minion` run a task of `job` that the owner has no unit for.
 void AddStrayRun(fake_fleet& fleet,
                  const std::string& minion,
@@ -32,13 +43,40 @@
                           fleet.now + fake_fleet::kLease);
 }
 
+// An owner with one minion, whose answers the test gives.
+struct lone_minion {
+  lone_minion() : core({}, 1, start, counters) {
+    core.OnConfig(std::make_shared<service_config>());
+    report.id = "minion";
+    report.incarnation_unix_ms = 1000;
+    report.service = "lab";
+    report.address = "10.0.0.1:80";
+    core.OnMinions(start, {report});
+  }
+
+  poll_order FirstPoll() {
+    const work_actions actions = core.Decide(start, 0);
+    REQUIRE(actions.polls.size() == 1);
+    return actions.polls.front();
+  }
+
+  // Returns an answer to a poll that lists nothing.
+  poll_answer Answer() const {
+    poll_answer answer;
+    answer.outcome = order_outcome::kDone;
+    answer.incarnation_unix_ms = report.incarnation_unix_ms;
+    return answer;
+  }
+
+  const instant start{std::chrono::hours(1)};
+  counter_table counters;
+  work_core core;
+  minion_report report;
+};
+
 TEST_CASE("A run of a cancelled job that no unit stands for is stopped") {
   fake_fleet fleet({});
-  accepted_job job = OneStep("a", 1, 1, kSmall, 60s);
-  job.spec.occurrences = 1;
-  job.spec.first_due_unix_ms =
-      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
-  fleet.Submit(job);
+  fleet.Submit(DueLater(fleet, "a", kSmall));
   fleet.Run(1s);
   fleet.Cancel("a");
   fleet.Run(1s);
@@ -79,11 +117,7 @@
     "A run that no unit stands for and that outlives its stops is counted") {
   fake_fleet fleet({});
   fleet.Submit(OneStep("b", 1, 8, {100'000, 200'000, 7}, 60s));
-  accepted_job job = OneStep("a", 1, 1, kSmall, 60s);
-  job.spec.occurrences = 1;
-  job.spec.first_due_unix_ms =
-      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
-  fleet.Submit(job);
+  fleet.Submit(DueLater(fleet, "a", kSmall));
   fleet.Run(1s);
   const std::string minion = fleet.minions.begin()->first;
   AddStrayRun(fleet, minion, "a");
@@ -97,11 +131,7 @@
   fake_fleet::options options;
   options.minions = 1;
   fake_fleet fleet(options);
-  accepted_job job = OneStep("a", 1, 1, kWholeMinion, 60s);
-  job.spec.occurrences = 1;
-  job.spec.first_due_unix_ms =
-      fleet.now.time_since_epoch().count() / 1000 + 3'600'000;
-  fleet.Submit(job);
+  fleet.Submit(DueLater(fleet, "a", kWholeMinion));
   fleet.Run(1s);
   AddStrayRun(fleet, fleet.minions.begin()->first, "a");
   fleet.lost_stops = 3;
@@ -215,26 +245,16 @@
 }
 
 TEST_CASE("A minion takes nothing until a late start can have no run there") {
-  counter_table counters;
-  const instant start{std::chrono::hours(1)};
-  work_core core({}, 1, start, counters);
-  core.OnConfig(std::make_shared<service_config>());
-  minion_report report;
-  report.id = "minion";
-  report.incarnation_unix_ms = 1000;
-  report.service = "lab";
-  report.address = "10.0.0.1:80";
-  core.OnMinions(start, {report});
-  const work_actions actions = core.Decide(start, 0);
-  REQUIRE(actions.polls.size() == 1);
-  poll_answer without_runs;
-  without_runs.outcome = order_outcome::kDone;
-  without_runs.incarnation_unix_ms = 1000;
+  lone_minion world;
+  work_core& core = world.core;
+  const instant start = world.start;
+  const poll_order poll = world.FirstPoll();
+  const poll_answer without_runs = world.Answer();
   const auto health = [&] { return core.Minions().at(0).health; };
-  core.OnPolled(start + 5ms, start, actions.polls[0], without_runs);
+  core.OnPolled(start + 5ms, start, poll, without_runs);
   CHECK(health() == "usable");
   start_order earlier;
-  earlier.minion = {"minion", 500, report.address};
+  earlier.minion = {"minion", 500, world.report.address};
   earlier.run = {{"a", 0, 0, 0}, 1};
   core.OnStarted(start + 10ms, earlier, {order_outcome::kUnknown});
   CHECK(health() == "has a stray run");
@@ -243,12 +263,12 @@
   core.OnStopped(start + 25ms, stops.stops[0], {order_outcome::kDone});
 
   SECTION("as a poll shows that was sent after the answer to the stop") {
-    core.OnPolled(start + 30ms, start + 26ms, actions.polls[0], without_runs);
+    core.OnPolled(start + 30ms, start + 26ms, poll, without_runs);
     core.Decide(start + 35ms, 0);
     CHECK(health() == "usable");
   }
   SECTION("but not one that was sent before") {
-    core.OnPolled(start + 30ms, start + 15ms, actions.polls[0], without_runs);
+    core.OnPolled(start + 30ms, start + 15ms, poll, without_runs);
     core.Decide(start + 35ms, 0);
     CHECK(health() == "has a stray run");
   }
@@ -256,36 +276,27 @@
 
 // Answers on different connections overtake each other.
 TEST_CASE("A stray run is stopped although an older poll does not list it") {
-  counter_table counters;
-  const instant start{std::chrono::hours(1)};
-  work_core core({}, 1, start, counters);
-  core.OnConfig(std::make_shared<service_config>());
-  minion_report report;
-  report.id = "minion";
-  report.incarnation_unix_ms = 1000;
-  report.service = "lab";
-  report.address = "10.0.0.1:80";
-  core.OnMinions(start, {report});
-  const work_actions actions = core.Decide(start, 0);
-  REQUIRE(actions.polls.size() == 1);
-  poll_answer without_runs;
-  without_runs.outcome = order_outcome::kDone;
-  without_runs.incarnation_unix_ms = 1000;
+  lone_minion world;
+  work_core& core = world.core;
+  const instant start = world.start;
+  const poll_order poll = world.FirstPoll();
+  const poll_answer without_runs = world.Answer();
   poll_answer with_stray = without_runs;
   with_stray.running.push_back({{{"a", 0, 0, 0}, 1}, "", 0, 0});
-  core.OnPolled(start + 20ms, start + 10ms, actions.polls[0], with_stray);
-  core.OnPolled(start + 21ms, start, actions.polls[0], without_runs);
+  core.OnPolled(start + 20ms, start + 10ms, poll, with_stray);
+  core.OnPolled(start + 21ms, start, poll, without_runs);
   CHECK(core.Decide(start + 25ms, 0).stops.size() == 1);
 
   SECTION("or once a later one lists it that was answered earlier") {
     with_stray.clock_ms = 19;
-    without_runs.clock_ms = 30;
-    core.OnPolled(start + 40ms, start + 30ms, actions.polls[0], without_runs);
-    core.OnPolled(start + 41ms, start + 32ms, actions.polls[0], with_stray);
+    poll_answer later = without_runs;
+    later.clock_ms = 30;
+    core.OnPolled(start + 40ms, start + 30ms, poll, later);
+    core.OnPolled(start + 41ms, start + 32ms, poll, with_stray);
     CHECK(core.Decide(start + 500ms, 0).stops.empty());
   }
   SECTION("and no longer once a later one does not list it") {
-    core.OnPolled(start + 40ms, start + 30ms, actions.polls[0], without_runs);
+    core.OnPolled(start + 40ms, start + 30ms, poll, without_runs);
     CHECK(core.Decide(start + 500ms, 0).stops.empty());
   }
 }
