Grant idle minions with slow clocks no longer lease than assumed

A task could run a second time beside its first run (TWICE), or go on after its job was given up, at a minion that was idle and is cut off at the next start. Cause: the end of a lease is computed on the minion's clock from its last answer. A clock that is 2% slow falls behind the estimate while the minion is idle: by 2 s after 100 s. Evidence: sched_minions_test "A minion with a slow clock is granted no longer lease after a pause": 16 of 36 checks failed before, after pauses of 40 s and 100 s. Change: a lease is shortened by what the clock may lag, up to half of it; the poll that follows a start extends it. Beyond that the owner waits longer. Measured: the case passes; unwanted_run_test, sched_core_test, sched_minions_test (460 assertions) and crash_test pass.

--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -216,8 +216,7 @@
   void AcknowledgeDurableEnds(minion_entry& minion);
   instant LeaseExpiry(const minion_entry& minion) const;
   bool HasLeaseExpired(instant now, const minion_entry& minion) const;
-  std::int64_t LeaseExpiryOnMinionClockMs(instant now,
-                                          const minion_entry& minion) const;
+  std::int64_t GrantLease(instant now, minion_entry& minion);
   static bool HasRunToKeep(const minion_entry& minion);
   duration PollWait(instant now, const minion_entry& minion) const;
   void EmitPoll(instant now,
--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -25,6 +25,8 @@
 constexpr duration kPendingEndsPollInterval = std::chrono::milliseconds(500);
 // Interval of extra polls for runs whose stop was acknowledged.
 constexpr duration kExtraPollInterval = std::chrono::milliseconds(100);
+// Part by which minions' clocks may be slow.
+constexpr double kMaxClockLag = 0.02;
 // Minions' clocks may be 2% slow; one more percent covers this process's clock
 // and rounding.
 constexpr double kClockRateTolerance = 1.03;
@@ -420,14 +422,19 @@
   StopLateStarts(now, minion);
 }
 
-std::int64_t work_core::impl::LeaseExpiryOnMinionClockMs(
-    instant now,
-    const minion_entry& minion) const {
-  const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
-      now - minion.clock_at);
-  const auto lease =
-      std::chrono::duration_cast<std::chrono::milliseconds>(options_.max_lease);
-  return minion.clock_ms + elapsed.count() + lease.count();
+// Extends the leases of the minion's runs by an order that is sent at `now`.
+// Returns their end on the minion's clock, in milliseconds. That clock may lag
+// behind its estimate, the more the longer ago it was read; a lease is
+// shortened for that by up to its half, and the owner waits for the rest.
+std::int64_t work_core::impl::GrantLease(instant now, minion_entry& minion) {
+  const duration elapsed = now - minion.clock_at;
+  const auto lag = std::chrono::duration_cast<duration>(elapsed * kMaxClockLag);
+  const duration shortening = std::min(lag, options_.max_lease / 2);
+  minion.last_lease_grant =
+      std::max(minion.last_lease_grant, now + lag - shortening);
+  const auto until_end = std::chrono::duration_cast<std::chrono::milliseconds>(
+      elapsed - shortening + options_.max_lease);
+  return minion.clock_ms + until_end.count();
 }
 
 // Returns how long the next poll may wait for an end. Beyond the limit of long
@@ -515,8 +522,7 @@
   order.wait = wait;
   order.is_extra = is_extra;
   if (minion.has_answered && minion.is_responsive && HasRunToKeep(minion)) {
-    order.lease_expiry_clock_ms = LeaseExpiryOnMinionClockMs(now, minion);
-    minion.last_lease_grant = now;
+    order.lease_expiry_clock_ms = GrantLease(now, minion);
   }
   (is_extra ? minion.is_extra_poll_in_flight : minion.is_poll_in_flight) = true;
   long_polls_in_flight_ += wait > duration(0) ? 1 : 0;
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -222,10 +222,9 @@
   ++member.starts_sent;
   member.phase = member_phase::kStarting;
   member.is_order_in_flight = true;
-  minion.last_lease_grant = now;
   actions_.starts.push_back({member.incarnation, KeyOf(job, unit, member),
                              job.accepted.spec.payload, unit.checkpoint,
-                             LeaseExpiryOnMinionClockMs(now, minion), fence_,
+                             GrantLease(now, minion), fence_,
                              TicketOf(now, job, unit, member.incarnation)});
 }
 
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -300,7 +300,8 @@
   /// Minion's clock at the latest list of its runs that was handled.
   std::int64_t list_clock_ms = 0;
   instant clock_at;
-  /// When an order that extends the leases on the minion was last sent.
+  /// When an order that extends the leases on the minion was last sent, or
+  /// later by what these may be too long.
   instant last_lease_grant;
   instant last_answered_poll_sent;  ///< Send time of the latest answered poll.
   resource_amounts used;            ///< Reserved by all members.
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -460,8 +460,7 @@
   }
 
   void ExtendLease(fake_minion& minion, std::int64_t until_clock_ms) {
-    const instant until =
-        minion.clock_origin + std::chrono::milliseconds(until_clock_ms);
+    const instant until = minion.TimeAt(until_clock_ms);
     const instant most = now + kLease;
     const instant granted = std::min(until, most);
     minion.lease = std::max(minion.lease.value_or(granted), granted);
--- a/tests/fake_minion.h
+++ b/tests/fake_minion.h
@@ -32,6 +32,7 @@
   instant last_cut_off;         ///< When it was last unreachable.
   double speed = 1;             ///< Speed of its runs; 0: stalled.
   instant clock_origin;         ///< When its clock reads 0.
+  double clock_rate = 1;        ///< Speed of its clock; 0.98 is the slowest.
   std::uint64_t fence = 0;
   std::optional<instant> lease;
   instant lease_expired_at;  ///< When its lease last expired.
@@ -45,7 +46,15 @@
   instant shrunk_at;                 ///< Never, if it has the default value.
 
   std::int64_t Clock(instant now) const {
-    return (now - clock_origin).count() / 1000;
+    return static_cast<std::int64_t>(
+        static_cast<double>((now - clock_origin).count()) * clock_rate / 1000);
+  }
+
+  /// When its clock reads `clock_ms`.
+  instant TimeAt(std::int64_t clock_ms) const {
+    return clock_origin +
+           duration(static_cast<std::int64_t>(static_cast<double>(clock_ms) *
+                                              1000 / clock_rate));
   }
 };
 
--- a/tests/sched_minions_test.cc
+++ b/tests/sched_minions_test.cc
@@ -79,6 +79,29 @@
   }
 }
 
+// Guards against a task that runs twice, because the minion of its first run
+// was granted a longer lease than the owner waits for.
+TEST_CASE(
+    "A minion with a slow clock is granted no longer lease after a pause") {
+  fake_fleet fleet({});
+  for (auto& [id, minion] : fleet.minions) {
+    minion.clock_rate = 0.98;
+  }
+  fleet.Run(GENERATE(1s, 40s, 100s));
+  fleet.Submit(OneStep("a", 1, 8, kWholeMinion, 20s));
+  fleet.Run(100ms);
+  REQUIRE(fleet.sent_starts.size() == 8);
+  const auto longest = std::chrono::milliseconds(fake_fleet::kLease / 1ms);
+  for (const start_order& order : fleet.sent_starts) {
+    const fake_minion& minion = fleet.minions.at(order.minion.id);
+    CHECK(order.lease_expiry_clock_ms <=
+          minion.Clock(fleet.now) + longest.count());
+  }
+  REQUIRE(fleet.RunUntilEnded(30s));
+  CHECK(fleet.starts["a"] == 8);
+  CheckNoViolations(fleet);
+}
+
 TEST_CASE("A minion on which several jobs failed is avoided") {
   fake_fleet fleet({});
   fleet.minions.at("minion-100").fails_all_runs = true;
