Explain when a list of runs counts as overtaken

Cause: the comment did not say what a larger difference of a minion's clock means. Change: a comment only.

--- a/src/sched/work_minions.cc
+++ b/src/sched/work_minions.cc
@@ -38,7 +38,7 @@
 constexpr std::size_t kMaxListedEnds = 500;
 
 // Whether a list of runs that the minion made later was handled already. A
-// clock that is further back is another one.
+// larger difference means that its clock began anew in a restart.
 bool IsOvertaken(const minion_entry& minion, const poll_answer& answer) {
   const std::int64_t lead_ms = minion.list_clock_ms - answer.clock_ms;
   return lead_ms > 0 && lead_ms <= kMaxOvertakenMs;
