Log the cancelling of unknown jobs and what a submission replaces

No line told whether a cancelling of an unknown job had stored a tombstone, or whether a submission replaced one, so that the logs of a job that ran after its cancelling was answered with 410 did not name a cause.

--- a/include/sassafras/sched/acceptance.h
+++ b/include/sassafras/sched/acceptance.h
@@ -35,6 +35,9 @@
   /// Empty until the submission is decided.
   const std::optional<acceptance_result>& Result() const { return result_; }
 
+  /// Whether the last write of the job was to replace a tombstone.
+  bool HasReplacedTombstone() const { return expected_version_ != 0; }
+
  private:
   std::optional<table_transaction> OnConflict(const commit_answer& answer);
   table_transaction Submit(std::uint64_t expected_version);
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -314,7 +314,10 @@
     const acceptance_result outcome = *acceptance->Result();
     LogDecision("submission", {{"job", id},
                                {"outcome", std::string(GetName(outcome))},
-                               {"store", std::string(GetName(stored.state))}});
+                               {"store", std::string(GetName(stored.state))},
+                               {"replaced", acceptance->HasReplacedTombstone()
+                                                ? "tombstone"
+                                                : "nothing"}});
     switch (outcome) {
       case acceptance_result::kAccepted:
         answer(MakeAnswer(caller_answer::kind::kAccepted));
@@ -401,8 +404,13 @@
                                       const reply& answer) {
   deps_.table.commit(
       {{sched::JobKey(id), version, sched::EncodeJobRow({true, {}})}},
-      [self = shared_from_this(), id, tries,
+      [self = shared_from_this(), id, version, tries,
        answer](const commit_answer& stored) {
+        LogDecision("cancel_of_unknown_job",
+                    {{"job", id},
+                     {"store", std::string(GetName(stored.state))},
+                     {"replaced", version == 0 ? "nothing" : "row"},
+                     {"tries", std::to_string(tries)}});
         if (stored.state == answer_state::kDone) {
           answer(self->MakeRefusal(error_kind::kNoSuchJob, "never accepted"));
         } else if (stored.state == answer_state::kNotDone &&
