--- a/tests/call_relay_test.cc
+++ b/tests/call_relay_test.cc
@@ -8,8 +8,8 @@
 #include <string>
 #include <vector>
 
-#include "programs/entry/caller_service.h"
 #include "tests/fake_table.h"
+#include "tests/service_world.h"
 
 namespace sassafras {
 namespace {
@@ -213,129 +213,6 @@
   }
 }
 
-// The caller service of one entry process. Paths are "/queue/ID"; the text of a
-// configuration is its version.
-struct service_world {
-  service_world()
-      : store([this] { return now; }, counters), metrics_registry(counters) {
-    adapter.table = table.Port();
-    adapter.table.follow = [](const std::string&, std::uint64_t, duration,
-                              const std::function<void(follow_answer)>&) {};
-    adapter.config_table = "op/";
-    adapter.config_key = "op/config";
-    adapter.decode_evacuation = [](const table_row&) {
-      return std::optional<sched::evacuation_row>();
-    };
-    adapter.decode_config =
-        [](const std::string& text) -> result<sched::service_config> {
-      sched::service_config config;
-      config.version = std::stoull(text);
-      sched::job_queue queue;
-      queue.name = "queue";
-      queue.prefix = "/queue/";
-      queue.allows_anonymous_calls = true;
-      config.queues.push_back(queue);
-      return config;
-    };
-    adapter.decode_call = [](const http_request& request) {
-      sched::caller_call call;
-      call.verb = request.method == "POST"     ? sched::caller_verb::kSubmit
-                  : request.method == "DELETE" ? sched::caller_verb::kCancel
-                                               : sched::caller_verb::kQuery;
-      call.path = request.path;
-      return call;
-    };
-    adapter.decode_job = [](const std::string&) -> result<sched::job_spec> {
-      sched::job_spec spec;
-      spec.steps.emplace_back();
-      spec.steps.back().count = 1;
-      return spec;
-    };
-    adapter.encode_answer = [](const sched::caller_answer& answer) {
-      http_response response;
-      response.status = answer.failure ? 503 : 200;
-      if (answer.failure == error_kind::kStoreUnknown) {
-        response.status = 504;
-      }
-      if (answer.failure == error_kind::kNoSuchJob) {
-        response.status = 410;
-      }
-      return response;
-    };
-    table_port table_calls = table.Port();
-    table_calls.commit = [this](
-                             const table_transaction& transaction,
-                             const std::function<void(commit_answer)>& done) {
-      const auto intercept = intercept_commit;
-      done(intercept ? intercept(transaction) : table.Commit(transaction));
-    };
-    port = store.Wrap(table_calls);
-    config_watch::hooks hooks;
-    hooks.now = [this] { return now; };
-    hooks.after = [](duration, const std::function<void()>&) {};
-    hooks.on_config = [](const sched::service_config_ptr&) {};
-    hooks.on_row = [](const table_row&) {};
-    table.Commit({{"op/config", 0, "18"}});
-    config = config_watch::Make(adapter, counters, hooks);
-    config->Start();
-    service = caller_service::Make(
-        {adapter, port, store, *config, settings, counters, metrics_registry,
-         [this] { return now; },
-         [this](const http_request&, std::uint64_t min_version,
-                const std::function<void(relay_answer)>& done) {
-           relayed_with.push_back(min_version);
-           done(peer_answer);
-         }});
-  }
-
-  int Call(const std::string& method, const std::string& min_version = "") {
-    http_exchange exchange;
-    exchange.request.method = method;
-    exchange.request.path = "/queue/5c0e7a21d94b36f8";
-    int status = 0;
-    exchange.reply = [&](const http_response& response) {
-      status = response.status;
-      answer_headers = response.headers;
-    };
-    if (min_version.empty()) {
-      service->Handle(exchange);
-    } else {
-      exchange.request.headers[kRelayedHeader] = min_version;
-      service->HandleRelayed(exchange);
-    }
-    return status;
-  }
-
-  // Makes the store turn this process away, and lets it notice.
-  void LoseStore() {
-    table.is_down = true;
-    for (int i = 0; i < 2; ++i) {
-      port.read({"x/y"}, [](const read_answer&) {});
-    }
-  }
-
-  // Lets this process notice that the store answers again.
-  void RegainStore() {
-    port.read({"x/y"}, [](const read_answer&) {});
-  }
-
-  instant now = kStart;
-  counter_table counters;
-  fake_table table;
-  /// Answers commits instead of the table; empty: the table does.
-  std::function<commit_answer(const table_transaction&)> intercept_commit;
-  store_watch store;
-  metrics metrics_registry;
-  entry_settings settings;
-  platform_adapter adapter;
-  table_port port;
-  std::shared_ptr<config_watch> config;
-  std::shared_ptr<caller_service> service;
-  relay_answer peer_answer;
-  std::vector<std::uint64_t> relayed_with;
-  std::map<std::string, std::string> answer_headers;
-};
-
 TEST_CASE("A caller comes to a process that the store turns away") {
   service_world world;
   CHECK(world.Call("POST") == 200);
