Refuse submissions of a job that was cancelled before it was accepted

Cause: one kind of tombstone stood for two meanings. A refused submission may be repeated, so that a submission replaces the tombstone; the tombstone of a cancelling stopped only writes that had been sent before it.

A cancelling that finds no job now stores a tombstone of its own kind, which neither a submission nor a refusal replaces; the answer to the submission is 410. This holds at every process, for calls that are passed on and for writes that the store performs late, since each decides by the row and its version.

--- a/include/sassafras/sched/acceptance.h
+++ b/include/sassafras/sched/acceptance.h
@@ -12,15 +12,19 @@
 
 /// Outcome of a submission.
 enum class acceptance_result : std::uint8_t {
-  kAccepted,  ///< The job is stored, by this call or an earlier one.
-  kRefused,   ///< This call has not stored the job and never will.
-  kUnknown,   ///< The job may be stored.
+  kAccepted,   ///< The job is stored, by this call or an earlier one.
+  kRefused,    ///< This call has not stored the job and never will.
+  kCancelled,  ///< The job was cancelled before it was accepted. It is not
+               ///< stored and never will be.
+  kUnknown,    ///< The job may be stored.
 };
 
 /// State machine that decides one submission from the store's answers; it does
 /// no I/O itself. A write whose answer was lost may still take effect.
 /// Therefore a tombstone, whose version makes the lost write fail, is written
-/// to the job's row before the submission is reported as refused.
+/// to the job's row before the submission is reported as refused. A tombstone
+/// of a cancelled job is final: the submission may be a copy that was read
+/// late.
 class acceptance {
  public:
   explicit acceptance(accepted_job job);
--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "sassafras/core/result.h"
@@ -41,14 +42,26 @@
 /// cancel key.
 std::string CancelledId(const std::string& key);
 
-/// Content of a job's row: an accepted job, or a tombstone. The tombstone says
-/// that the submission of this id was refused; its version makes a late write
-/// of the job fail.
+/// Content of a job's row. A tombstone takes the place of a job that was not
+/// accepted; its version makes a late write of the job fail.
+enum class job_row_kind : std::uint8_t {
+  kAccepted,
+  kRefused,    ///< Tombstone; a later submission may replace it.
+  kCancelled,  ///< Tombstone of a job that its caller cancelled before it was
+               ///< accepted; no submission replaces it.
+};
+
+/// An accepted job, or a tombstone.
 struct job_row {
-  bool is_refusal = false;
-  accepted_job job;  ///< Default value if is_refusal.
+  job_row_kind kind = job_row_kind::kAccepted;
+  accepted_job job;  ///< Default value in a tombstone.
+
+  bool IsAccepted() const { return kind == job_row_kind::kAccepted; }
 };
 
+/// Returns the name of `kind`, which marks the rows of tombstones.
+std::string_view GetName(job_row_kind kind);
+
 /// Encodes a row as JSON; invalid UTF-8 in texts is replaced.
 std::string EncodeJobRow(const job_row& row);
 
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -33,6 +33,7 @@
 // Tries of a cancelling, each after the job's row has changed since it was
 // read.
 constexpr int kMaxCancelTries = 3;
+constexpr char kCancelledEarly[] = "cancelled before it was accepted";
 
 std::string_view GetName(acceptance_result outcome) {
   switch (outcome) {
@@ -40,6 +41,8 @@
       return "accepted";
     case acceptance_result::kRefused:
       return "refused";
+    case acceptance_result::kCancelled:
+      return "cancelled";
     case acceptance_result::kUnknown:
       return "unknown";
   }
@@ -312,12 +315,12 @@
       return;
     }
     const acceptance_result outcome = *acceptance->Result();
-    LogDecision("submission", {{"job", id},
-                               {"outcome", std::string(GetName(outcome))},
-                               {"store", std::string(GetName(stored.state))},
-                               {"replaced", acceptance->HasReplacedTombstone()
-                                                ? "tombstone"
-                                                : "nothing"}});
+    LogDecision("submission",
+                {{"job", id},
+                 {"outcome", std::string(GetName(outcome))},
+                 {"store", std::string(GetName(stored.state))},
+                 {"replaced", acceptance->HasReplacedTombstone() ? "tombstone"
+                                                                 : "nothing"}});
     switch (outcome) {
       case acceptance_result::kAccepted:
         answer(MakeAnswer(caller_answer::kind::kAccepted));
@@ -325,6 +328,10 @@
       case acceptance_result::kRefused:
         answer(self->MakeRefusal(error_kind::kStoreUnavailable, "not stored"));
         return;
+      case acceptance_result::kCancelled:
+        self->deps_.counters.Add("submission_of_cancelled_job");
+        answer(self->MakeRefusal(error_kind::kNoSuchJob, kCancelledEarly));
+        return;
       case acceptance_result::kUnknown:
         answer(self->MakeRefusal(error_kind::kStoreUnknown,
                                  "the store's answer was lost"));
@@ -368,8 +375,7 @@
     }
     const table_row& row = read.rows.front();
     const auto job = sched::DecodeJobRow(row.value);
-    const bool is_accepted = row.version != 0 && job && !job.value().is_refusal;
-    answer(is_accepted
+    answer(row.version != 0 && job && job.value().IsAccepted()
                ? MakeStateAnswer(job_state::kQueued)
                : self->MakeRefusal(error_kind::kNoSuchJob, "never accepted"));
   });
@@ -387,23 +393,27 @@
     }
     const table_row& row = read.rows.front();
     const auto job = sched::DecodeJobRow(row.value);
-    if (row.version == 0 || !job || job.value().is_refusal) {
+    if (row.version == 0 || !job ||
+        job.value().kind == sched::job_row_kind::kRefused) {
       self->RefuseUnknownJob(id, row.version, tries, answer);
-      return;
+    } else if (job.value().kind == sched::job_row_kind::kCancelled) {
+      answer(self->MakeRefusal(error_kind::kNoSuchJob, kCancelledEarly));
+    } else {
+      self->WriteCancelMark(id, answer);
     }
-    self->WriteCancelMark(id, answer);
   });
 }
 
-// A write of the submission whose answer was lost may still take effect, after
-// the caller was told that there is no such job. The tombstone makes it fail,
-// because it changes the version of the row.
+// The submission may still come after the caller was told that there is no such
+// job: a write of it whose answer was lost may take effect, or a process that
+// stood still may read a copy. The tombstone makes either fail.
 void caller_service::RefuseUnknownJob(const std::string& id,
                                       std::uint64_t version,
                                       int tries,
                                       const reply& answer) {
   deps_.table.commit(
-      {{sched::JobKey(id), version, sched::EncodeJobRow({true, {}})}},
+      {{sched::JobKey(id), version,
+        sched::EncodeJobRow({sched::job_row_kind::kCancelled, {}})}},
       [self = shared_from_this(), id, version, tries,
        answer](const commit_answer& stored) {
         LogDecision("cancel_of_unknown_job",
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -156,7 +156,7 @@
              {{"key", row.key}, {"detail", decoded.error().detail}});
     return;
   }
-  if (decoded.value().is_refusal) {
+  if (!decoded.value().IsAccepted()) {
     return;
   }
   const sched::accepted_job& job = decoded.value().job;
--- a/src/sched/acceptance.cc
+++ b/src/sched/acceptance.cc
@@ -53,8 +53,9 @@
   return Refuse();
 }
 
-// The row exists. It holds the job, stored by this or an earlier call, or the
-// tombstone of an earlier refusal, which a new submission may replace.
+// The row exists. It holds the job, stored by this or an earlier call, or a
+// tombstone: of an earlier refusal, which a new submission may replace, or of a
+// cancelled job.
 std::optional<table_transaction> acceptance::OnConflict(
     const commit_answer& answer) {
   const table_row* row = FindRow(answer.rows, key_);
@@ -65,8 +66,13 @@
     return Finish(has_unknown_write_ ? acceptance_result::kUnknown
                                      : acceptance_result::kRefused);
   }
-  if (!current.value().is_refusal) {
-    return Finish(acceptance_result::kAccepted);
+  switch (current.value().kind) {
+    case job_row_kind::kAccepted:
+      return Finish(acceptance_result::kAccepted);
+    case job_row_kind::kCancelled:
+      return Finish(acceptance_result::kCancelled);
+    case job_row_kind::kRefused:
+      break;
   }
   // Since the tombstone is stored, a lost write that expects an earlier version
   // fails.
@@ -79,13 +85,15 @@
 table_transaction acceptance::Submit(std::uint64_t expected_version) {
   ++writes_;
   expected_version_ = expected_version;
-  return {{key_, expected_version, EncodeJobRow({false, job_})}};
+  return {
+      {key_, expected_version, EncodeJobRow({job_row_kind::kAccepted, job_})}};
 }
 
 table_transaction acceptance::Refuse() {
   ++writes_;
   is_refusing_ = true;
-  return {{key_, expected_version_, EncodeJobRow({true, {}})}};
+  return {
+      {key_, expected_version_, EncodeJobRow({job_row_kind::kRefused, {}})}};
 }
 
 std::optional<table_transaction> acceptance::Finish(acceptance_result how) {
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -169,9 +169,24 @@
 
 }  // namespace
 
+std::string_view GetName(job_row_kind kind) {
+  switch (kind) {
+    case job_row_kind::kAccepted:
+      return "accepted";
+    case job_row_kind::kRefused:
+      return "refused";
+    case job_row_kind::kCancelled:
+      return "cancelled";
+  }
+  return "unknown";
+}
+
+// Builds that do not know the kind kCancelled take its rows for malformed ones
+// and refuse submissions of the id, too.
 std::string EncodeJobRow(const job_row& row) {
-  if (row.is_refusal) {
-    return json{{"format", kRowFormat}, {"refused", true}}.dump();
+  if (!row.IsAccepted()) {
+    return json{{"format", kRowFormat}, {std::string(GetName(row.kind)), true}}
+        .dump();
   }
   const accepted_job& job = row.job;
   json steps = json::array();
@@ -201,9 +216,12 @@
   try {
     const json document = json::parse(text);
     job_row row;
-    if (document.value("refused", false)) {
-      row.is_refusal = true;
-      return row;
+    for (const job_row_kind kind :
+         {job_row_kind::kRefused, job_row_kind::kCancelled}) {
+      if (document.value(std::string(GetName(kind)), false)) {
+        row.kind = kind;
+        return row;
+      }
     }
     accepted_job& job = row.job;
     job.id = document.at("id");
--- a/tests/job_record_test.cc
+++ b/tests/job_record_test.cc
@@ -9,6 +9,16 @@
 // Rows of the store hold at most this number of bytes.
 constexpr std::size_t kMaxRowBytes = 65'536;
 
+TEST_CASE("A tombstone tells a refused submission from a cancelled job") {
+  for (const job_row_kind kind :
+       {job_row_kind::kRefused, job_row_kind::kCancelled}) {
+    INFO(GetName(kind));
+    const auto decoded = DecodeJobRow(EncodeJobRow({kind, {}}));
+    REQUIRE(decoded);
+    CHECK(decoded.value().kind == kind);
+  }
+}
+
 TEST_CASE("The record of a job keeps what the next owner needs") {
   job_record record;
   record.state = job_state::kRunning;
