Refuse submissions that may be older than what is kept of their job

The rows of an ended job are erased 150 s after its end. A process that was stopped or suspended for longer, and then read a copy of the job's submission, found no row and would have run the job once more.

stall_watch compares two readings of a clock that counts suspended time. After a stall of more than half of the time for which callers may ask for an ended job, submissions are refused for 5 s with 503, which is true for each copy, and not passed on; the process is not ready meanwhile.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -72,7 +72,7 @@
 
 bool caller_service::IsReady() const {
   return deps_.config.Age() < kMaxFreshConfigAge &&
-         !deps_.store.IsUnavailable();
+         !deps_.store.IsUnavailable() && !deps_.may_read_old_calls();
 }
 
 void caller_service::Handle(http_exchange exchange) {
@@ -271,6 +271,13 @@
                                const sched::job_queue& queue,
                                const std::string& id,
                                const reply& answer) {
+  if (deps_.may_read_old_calls()) {
+    // Not kStoreUnavailable: a process that gets the call passed on does not
+    // know that it may be old.
+    answer(MakeRefusal(error_kind::kDeadlineUnreachable,
+                       "this process stood still, the call may be old"));
+    return;
+  }
   auto spec = deps_.adapter.decode_job(call.body);
   if (!spec) {
     answer(MakeRefusal(spec.error().kind, spec.error().detail));
--- a/programs/entry/caller_service.h
+++ b/programs/entry/caller_service.h
@@ -36,6 +36,9 @@
     counter_table& counters;
     metrics& metrics_registry;
     std::function<instant()> now;  ///< Monotonic time.
+    /// Whether a call may be older than what is kept of ended jobs; see
+    /// stall_watch.
+    std::function<bool()> may_read_old_calls;
     /// Passes a call to another entry process; see call_relay.
     std::function<void(const http_request& request,
                        std::uint64_t min_version,
@@ -53,7 +56,8 @@
   void HandleRelayed(http_exchange exchange);
 
   /// Whether the load balancer should send new connections: the configuration
-  /// is less than 2.5 s old and the store is available.
+  /// is less than 2.5 s old, the store is available, and submissions are not
+  /// refused as too old.
   bool IsReady() const;
 
   /// Number of calls that have not been answered.
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -1,5 +1,6 @@
 #include "programs/entry/entry_node.h"
 
+#include <algorithm>
 #include <chrono>
 #include <csignal>
 #include <iostream>
@@ -94,9 +95,13 @@
          client_->Call(address, request, connection_choice::kPooled, timeout,
                        std::move(done));
        }});
+  // Half of the retention: the copy was on its way before the stall as well.
+  stalls_ = stall_watch::Make(
+      std::min(settings_.state_time, settings_.tombstone_time) / 2, counters_,
+      {SuspendAwareNow, after});
   callers_ = caller_service::Make(
       {adapter_, table_, store_, *config_, settings_, counters_, metrics_,
-       SuspendAwareNow,
+       SuspendAwareNow, [this] { return stalls_->MayReadOldCalls(); },
        [this](const http_request& request, std::uint64_t min_version,
               std::function<void(relay_answer)> done) {
          relay_->Relay(request, min_version, std::move(done));
@@ -107,6 +112,7 @@
     return 1;
   }
   WaitForSignals();
+  stalls_->Start();
   config_->Start();
   owner_->Start();
   relay_->Start();
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -14,6 +14,7 @@
 #include "programs/entry/entry_settings.h"
 #include "programs/entry/job_owner.h"
 #include "programs/entry/platform_adapter.h"
+#include "programs/entry/stall_watch.h"
 #include "programs/entry/status_pages.h"
 #include "programs/entry/store_watch.h"
 #include "sassafras/core/counter_table.h"
@@ -70,6 +71,7 @@
   std::shared_ptr<config_watch> config_;
   std::shared_ptr<job_owner> owner_;
   std::shared_ptr<call_relay> relay_;
+  std::shared_ptr<stall_watch> stalls_;
   std::shared_ptr<caller_service> callers_;
   std::unique_ptr<status_pages> pages_;
   std::shared_ptr<http_server> caller_server_;
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -40,6 +40,9 @@
   duration stop_grace{6'000'000};  ///< From the stop signal to the kill.
   /// Time for which callers can ask for the state of an ended job.
   duration state_time{120'000'000};
+  /// Time for which a submission that was not accepted is remembered: longer
+  /// than a copy of it can be on its way.
+  duration tombstone_time{3'600'000'000};
   sched::policy_switches policy;
 };
 
--- a/tests/late_call_test.cc
+++ b/tests/late_call_test.cc
@@ -1,18 +1,22 @@
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <list>
 #include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "programs/entry/stall_watch.h"
 #include "sassafras/sched/job_codec.h"
 #include "tests/service_world.h"
 
 namespace sassafras {
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::string kId = "5c0e7a21d94b36f8";
 const std::string kKey = sched::JobKey(kId);
 
@@ -85,6 +89,71 @@
   }
 }
 
+// Guards against a job that runs once more, because its rows were erased before
+// a process that had stood still for long read a copy of its submission.
+TEST_CASE("A submission may be older than what is kept of its job") {
+  service_world world;
+  world.may_read_old_calls = true;
+
+  SECTION("it is refused, and not passed on") {
+    CHECK(world.Call("POST") == kUnavailable);
+    CHECK_FALSE(AcceptedJob(world.table));
+    CHECK(world.relayed_with.empty());
+    CHECK(world.counters.Get("refused_deadline_unreachable") == 1);
+    CHECK_FALSE(world.service->IsReady());
+  }
+  SECTION("so is one that another process has passed on") {
+    CHECK(world.Call("POST", "18") == kUnavailable);
+    CHECK_FALSE(AcceptedJob(world.table));
+  }
+  SECTION("other calls are answered") {
+    CHECK(world.Call("GET") == kGone);
+    CHECK(world.Call("DELETE") == kGone);
+  }
+}
+
+TEST_CASE("A process notices that it stood still") {
+  instant now(std::chrono::hours(1));
+  counter_table counters;
+  std::function<void()> tick;
+  const auto stalls = stall_watch::Make(
+      60s, counters,
+      {[&] { return now; },
+       [&](duration, std::function<void()> action) { tick = action; }});
+  const auto run = [&](duration length) {
+    for (const instant end = now + length; now < end; now += 500ms) {
+      tick();
+    }
+  };
+  stalls->Start();
+  run(10min);
+  CHECK_FALSE(stalls->MayReadOldCalls());
+
+  SECTION("though the first call is read before the timer runs") {
+    now += 61s;
+    CHECK(stalls->MayReadOldCalls());
+    CHECK(counters.Get("process_stalled") == 1);
+
+    SECTION("until the calls that were waiting have been read") {
+      run(4s);
+      CHECK(stalls->MayReadOldCalls());
+      run(2s);
+      CHECK_FALSE(stalls->MayReadOldCalls());
+      CHECK(counters.Get("process_stalled") == 1);
+    }
+  }
+  SECTION("though the timer runs before the first call is read") {
+    now += 61s;
+    tick();
+    CHECK(stalls->MayReadOldCalls());
+  }
+  SECTION("but takes calls after a stall that is short") {
+    now += 59s;
+    tick();
+    CHECK_FALSE(stalls->MayReadOldCalls());
+  }
+}
+
 // A submission or cancelling at a process of its own.
 struct copied_call {
   std::string method;
--- a/tests/service_world.h
+++ b/tests/service_world.h
@@ -96,7 +96,7 @@
     config->Start();
     service = caller_service::Make(
         {adapter, port, store, *config, settings, counters, metrics_registry,
-         [this] { return now; },
+         [this] { return now; }, [this] { return may_read_old_calls; },
          [this](const http_request&, std::uint64_t min_version,
                 const std::function<void(relay_answer)>& done) {
            relayed_with.push_back(min_version);
@@ -162,6 +162,7 @@
   table_port port;
   std::shared_ptr<config_watch> config;
   std::shared_ptr<caller_service> service;
+  bool may_read_old_calls = false;
   relay_answer peer_answer;
   std::vector<std::uint64_t> relayed_with;
   std::map<std::string, std::string> answer_headers;
