Erase tombstones that no copy of their submission can meet any more

Each refusal after a lost answer, and each cancelling of an unknown job, left a row in the store for good, which every new owner loads.

An owner erases a tombstone that it has seen unchanged for an hour, on the condition that it still is. A copy of the submission cannot be on its way for so long, and a process that stood still for half of that time refuses submissions.

--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -104,6 +104,11 @@
     sched::upkeep_wave wave;
     instant first_seen;  // By this process, in whatever tenure.
   };
+  // A tombstone of a submission.
+  struct known_tombstone {
+    std::uint64_t version = 0;
+    instant first_seen;  // By this process, in whatever tenure.
+  };
   // Versions of the rows of a wave, as far as this process has met them.
   struct wave_versions {
     std::uint64_t record = 0;
@@ -153,6 +158,10 @@
   void FinishErasing(std::uint64_t tenure,
                      const std::string& id,
                      bool are_rows_gone);
+  void NoteTombstone(const table_row& row);
+  void EraseOldTombstones(std::uint64_t tenure);
+  void OnTombstoneErased(const table_write& erased,
+                         const commit_answer& answer);
   void LoadWaves(std::uint64_t tenure);
   void OnWavesLoaded(std::uint64_t tenure, const read_answer& answer);
   void DecideUpkeep(std::uint64_t tenure);
@@ -193,6 +202,7 @@
   std::unique_ptr<sched::work_core> core_;
   // Null until the records of the waves have been loaded in this tenure.
   std::unique_ptr<sched::upkeep_core> upkeep_;
+  std::map<std::string, known_tombstone> tombstones_;  // By key.
   std::map<std::int64_t, known_wave> waves_;
   std::map<std::int64_t, wave_versions> wave_versions_;
   // Set from the call for the list until kMachineListInterval after its answer.
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -141,6 +141,7 @@
     const table_row& row,
     const std::map<std::string, const table_row*>& records) {
   if (row.is_erased) {
+    tombstones_.erase(row.key);
     return;
   }
   const instant now = hooks_.now();
@@ -157,8 +158,10 @@
     return;
   }
   if (!decoded.value().IsAccepted()) {
+    NoteTombstone(row);
     return;
   }
+  tombstones_.erase(row.key);
   const sched::accepted_job& job = decoded.value().job;
   const auto it = records.find(sched::kRecordTable + job.id);
   if (it == records.end()) {
@@ -311,6 +314,7 @@
   for (const sched::expired_job& job : expired) {
     EraseJob(tenure, job);
   }
+  EraseOldTombstones(tenure);
   hooks_.after(kExpiryInterval, [self = shared_from_this(), tenure] {
     self->EraseExpiredJobs(tenure);
   });
@@ -361,4 +365,56 @@
   }
 }
 
+// Called with the lock held.
+void job_owner::NoteTombstone(const table_row& row) {
+  known_tombstone& tombstone = tombstones_[row.key];
+  if (tombstone.version != row.version) {
+    tombstone = {row.version, hooks_.now()};
+  }
+}
+
+// Erases the tombstones that no late copy of their submission can meet any
+// more. Those that could not be erased are tried again at the next interval.
+void job_owner::EraseOldTombstones(std::uint64_t tenure) {
+  table_transaction old;
+  {
+    const std::lock_guard lock(mutex_);
+    if (!core_ || tenure_ != tenure) {
+      return;
+    }
+    for (const auto& [key, tombstone] : tombstones_) {
+      if (old.size() >= kMaxErasedPerCommit) {
+        break;
+      }
+      if (hooks_.now() - tombstone.first_seen > settings_.tombstone_time) {
+        old.push_back({key, tombstone.version, "", true});
+      }
+    }
+  }
+  for (const table_write& erased : old) {
+    table_.commit({erased}, [self = shared_from_this(),
+                             erased](const commit_answer& answer) {
+      self->OnTombstoneErased(erased, answer);
+    });
+  }
+}
+
+void job_owner::OnTombstoneErased(const table_write& erased,
+                                  const commit_answer& answer) {
+  const bool has_changed = answer.state == answer_state::kNotDone &&
+                           answer.reason == error_kind::kConflict;
+  if (answer.state != answer_state::kDone && !has_changed) {
+    counters_.Add("tombstones_not_erased");
+    LogEvent("tombstone_not_erased", {{"key", erased.key}});
+    return;
+  }
+  counters_.Add(has_changed ? "tombstones_changed" : "tombstones_erased");
+  const std::lock_guard lock(mutex_);
+  const auto it = tombstones_.find(erased.key);
+  if (it != tombstones_.end() &&
+      it->second.version == erased.expected_version) {
+    tombstones_.erase(it);
+  }
+}
+
 }  // namespace sassafras
--- a/tests/job_owner_test.cc
+++ b/tests/job_owner_test.cc
@@ -222,6 +222,60 @@
 
 // Guards against an entry of another writer that keeps the owner from following
 // the list of minions.
+// Guards against a store that fills up with the tombstones of years.
+TEST_CASE("Tombstones are erased once no copy of the submission can come") {
+  owner_world world;
+  world.Run(1s);
+  const std::string refused = sched::JobKey("00000000000000a1");
+  const std::string cancelled = sched::JobKey("00000000000000a2");
+  const auto is_kept = [&](const std::string& key) {
+    return world.table.Read(key).version != 0;
+  };
+  world.PutRow(refused,
+               sched::EncodeJobRow({sched::job_row_kind::kRefused, {}}));
+  world.PutRow(cancelled,
+               sched::EncodeJobRow({sched::job_row_kind::kCancelled, {}}));
+  world.Run(55s);
+  CHECK(is_kept(refused));
+  CHECK(is_kept(cancelled));
+
+  SECTION("of refused submissions and of cancelled jobs") {
+    world.Run(20s);
+    CHECK_FALSE(is_kept(refused));
+    CHECK_FALSE(is_kept(cancelled));
+    CHECK(world.counters.Get("tombstones_erased") == 2);
+  }
+  SECTION("by the next owner too, to whom each seems new") {
+    world.ReplaceOwner();
+    world.Run(20s);
+    CHECK(is_kept(cancelled));
+    world.Run(60s);
+    CHECK_FALSE(is_kept(cancelled));
+  }
+  SECTION("again if the store refuses it") {
+    world.intercept_commit =
+        [&](const table_transaction& writes) -> std::optional<commit_answer> {
+      if (writes.front().key != cancelled) {
+        return std::nullopt;
+      }
+      return commit_answer{
+          answer_state::kNotDone, error_kind::kStoreUnavailable, {}};
+    };
+    world.Run(20s);
+    CHECK(is_kept(cancelled));
+    CHECK(world.counters.Get("tombstones_not_erased") > 0);
+    world.intercept_commit = nullptr;
+    world.Run(20s);
+    CHECK_FALSE(is_kept(cancelled));
+  }
+  SECTION("but not a job that has taken the place of one") {
+    world.Submit("00000000000000a1", 2, 1s);
+    world.Run(20s);
+    CHECK(is_kept(refused));
+    CHECK(world.starts["00000000000000a1"] == 2);
+  }
+}
+
 TEST_CASE("Odd entries among those of the minions") {
   owner_world world;
   world.Run(1s);
--- a/tests/owner_world.h
+++ b/tests/owner_world.h
@@ -32,6 +32,7 @@
   owner_world() {
     settings.id = {"entry-1"};
     settings.state_time = std::chrono::seconds(20);
+    settings.tombstone_time = std::chrono::seconds(60);
     for (int i = 0; i < kMinions; ++i) {
       const std::string machine = "m" + std::to_string(i);
       machines[machine] = {machine, "lab", sched::machine_state::kUp, ""};
