--- a/tools/entry_soak.sh
+++ b/tools/entry_soak.sh
@@ -47,7 +47,8 @@
   pids[entry-$1]=$!
 }
 
-# Ends or pauses one process, and has it back 1 to 3 s later.
+# Ends one process and starts it again 1 to 3 s later, or pauses it for 1 to
+# 5 s: past the deadline of callers, which then cancel what they sent there.
 disturb() {  # disturb KIND
   local number=$((RANDOM % kEntries + 1))
   local pid=${pids[entry-$number]}
@@ -56,11 +57,12 @@
     t) kill -TERM "$pid" ;;
     p) kill -STOP "$pid" ;;
   esac
-  sleep $((RANDOM % 3 + 1))
   if [ "$1" = p ]; then
+    sleep $((RANDOM % 5 + 1))
     kill -CONT "$pid"
     return
   fi
+  sleep $((RANDOM % 3 + 1))
   wait "$pid" 2> /dev/null || true
   start_entry "$number"
 }
