Do not pass on submissions that may be old

A process that stood still for long has an old configuration, too. A keyed submission was refused there because the key could not be checked, and that refusal is passed on to another process, which did not know that the call may be old and accepted it.

late_call_test "it is not passed on either if the store turns this process away": 2 checks failed before.

--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -166,11 +166,12 @@
 }
 
 // Calls are passed on if this process has not acted on them for want of the
-// store or of a configuration, unless the caller has been held up already.
+// store or of a configuration, unless the caller has been held up already, or
+// the call may be old: the other process would not know that.
 bool caller_service::ShouldRelay(const caller_answer& answer,
                                  duration took) const {
   return deps_.relay && deps_.settings.policy.relay_calls &&
-         took < kMaxTimeBeforeRelay &&
+         took < kMaxTimeBeforeRelay && !deps_.may_read_old_calls() &&
          (answer.failure == error_kind::kStoreUnavailable ||
           answer.failure == error_kind::kNoConfiguration);
 }
@@ -272,8 +273,6 @@
                                const std::string& id,
                                const reply& answer) {
   if (deps_.may_read_old_calls()) {
-    // Not kStoreUnavailable: a process that gets the call passed on does not
-    // know that it may be old.
     answer(MakeRefusal(error_kind::kDeadlineUnreachable,
                        "this process stood still, the call may be old"));
     return;
--- a/tests/late_call_test.cc
+++ b/tests/late_call_test.cc
@@ -102,6 +102,12 @@
     CHECK(world.counters.Get("refused_deadline_unreachable") == 1);
     CHECK_FALSE(world.service->IsReady());
   }
+  SECTION("it is not passed on either if the store turns this process away") {
+    world.peer_answer = {answer_state::kDone, {kOk}, 18};
+    world.LoseStore();
+    CHECK(world.Call("POST") == kUnavailable);
+    CHECK(world.relayed_with.empty());
+  }
   SECTION("so is one that another process has passed on") {
     CHECK(world.Call("POST", "18") == kUnavailable);
     CHECK_FALSE(AcceptedJob(world.table));
