--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -122,8 +122,8 @@
         });
         reader.ReadMap("policy", [&](yaml_reader& policy) {
           for (const sched::policy_switch_info& info : sched::kPolicySwitches) {
-            settings.policy.*info.value =
-                policy.ReadBool(std::string(info.name), true);
+            bool& value = settings.policy.*info.value;
+            value = policy.ReadBool(std::string(info.name), value);
           }
         });
       });
--- a/tests/entry_settings_test.cc
+++ b/tests/entry_settings_test.cc
@@ -84,5 +84,25 @@
   CHECK(list_faults(faulty).find("stop_grace_seconds") != std::string::npos);
 }
 
+// Guards against decisions about overload in a deployment that did not ask for
+// them.
+TEST_CASE("Decisions about overload are off unless the settings ask for them") {
+  const sched::policy_switches unset =
+      ParseEntrySettings("s.yaml", kCompleteSettings).settings.policy;
+  CHECK(unset.relay_calls);
+  CHECK_FALSE(unset.hold_room_for_gangs);
+  CHECK_FALSE(unset.admission_control);
+
+  SECTION("a switch that is set takes effect alone") {
+    const sched::policy_switches set =
+        ParseEntrySettings(
+            "s.yaml",
+            kCompleteSettings + "policy:\n  hold_room_for_gangs: true\n")
+            .settings.policy;
+    CHECK(set.hold_room_for_gangs);
+    CHECK_FALSE(set.order_by_objective);
+  }
+}
+
 }  // namespace
 }  // namespace sassafras
--- a/tests/fake_fleet.h
+++ b/tests/fake_fleet.h
@@ -37,6 +37,7 @@
     std::uint64_t seed = 1;
     int max_long_polls = 1'000'000;
     duration max_evacuation_age{0};  ///< See work_options.
+    policy_switches policy;
   };
 
   explicit fake_fleet(options initial_options)
@@ -79,6 +80,7 @@
     bounds.max_lease = kLease;
     bounds.max_long_polls = options_.max_long_polls;
     bounds.max_evacuation_age = options_.max_evacuation_age;
+    bounds.policy = options_.policy;
     core = std::make_unique<work_core>(bounds, fence_, now, counters);
     core->OnConfig(config_);
     for (const auto& [id, job] : jobs) {
