Bound the memory that uncontrolled clients and servers can make a process hold

Cause: the read buffer of a connection had no limit behind the header, so that trailer fields, one trailer line or one chunk extension without end were kept whole, on the callers', the readiness and the status address. Bodies within the limit that never ended were bounded one by one, not together. At the limit of connections newcomers were refused, so that idle connections kept ordinary callers out; each of the three addresses could take the callers' share. Change: a read buffer with a limit, a limit of header fields, a memory_budget for all requests of a process and one for the answers that it reads, derived from the new setting memory_mb; the connection that has been longest without a complete request gives way to a new one; shares of descriptors for the readiness and the status address; a counter and a log line for each limit; the map `limits` of the settings.

--- a/include/sassafras/net/http_client.h
+++ b/include/sassafras/net/http_client.h
@@ -11,6 +11,7 @@
 #include "sassafras/core/time.h"
 #include "sassafras/net/answer.h"
 #include "sassafras/net/http_types.h"
+#include "sassafras/net/memory_budget.h"
 #include "sassafras/net/minion_port.h"
 
 namespace sassafras {
@@ -24,6 +25,8 @@
   int max_connections = 0;               ///< Open, including idle; 0: no limit.
   int max_idle = 0;  ///< Idle, over all addresses; 0: no limit.
   std::uint64_t max_body_bytes = 16 << 20;
+  /// For all answers that are incomplete. Null: no limit.
+  std::shared_ptr<memory_budget> memory;
 };
 
 /// Result of a call. kDone: `response` is complete. kNotDone: no byte was sent.
--- a/include/sassafras/net/http_server.h
+++ b/include/sassafras/net/http_server.h
@@ -6,22 +6,52 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "sassafras/core/counter_table.h"
 #include "sassafras/core/result.h"
 #include "sassafras/core/time.h"
 #include "sassafras/net/http_types.h"
+#include "sassafras/net/memory_budget.h"
 
 namespace sassafras {
 
+/// Limit that a client has exceeded.
+enum class client_limit : std::uint8_t {
+  kHeaderBytes,   ///< Request line and header fields.
+  kHeaderFields,  ///< Number of header and trailer fields.
+  kFraming,       ///< A chunk line or the trailer section.
+  kBody,
+  kTime,         ///< Time to read a request.
+  kMemory,       ///< Memory of all connections of the process.
+  kConnections,  ///< Connections of the address.
+};
+
+/// Name of `limit` in counters and logs.
+std::string_view GetName(client_limit limit);
+
 /// Limits of an HTTP server.
 struct http_server_options {
   std::string address;  ///< "IP:port" to listen on.
   std::uint64_t max_body_bytes = 1 << 20;
+  /// The read buffer is a quarter larger, which bounds chunk lines and trailer
+  /// sections.
   std::uint32_t max_header_bytes = 16 << 10;
+  int max_header_fields = 100;
   duration read_timeout{10'000'000};  ///< Maximum time to read a request.
   duration idle_timeout{60'000'000};  ///< Maximum time between requests.
+  /// At this number the connection that has been longest without a complete
+  /// request is closed in favour of a new one.
   int max_connections = 10'000;
+  /// Receive buffer of each connection in the kernel; 0: the system's default.
+  int receive_buffer_bytes = 16 << 10;
+  /// Shared with other servers of the process. Null: kDefaultMemoryBytes of its
+  /// own.
+  std::shared_ptr<memory_budget> memory;
+  /// Called when a client exceeds a limit; may be empty.
+  std::function<void(client_limit limit, const std::string& address)> on_limit;
+
+  static constexpr std::uint64_t kDefaultMemoryBytes = 64 << 20;
 };
 
 /// Called when the caller closes its connection before the answer is sent.
--- a/programs/entry/descriptor_budget.cc
+++ b/programs/entry/descriptor_budget.cc
@@ -14,6 +14,10 @@
 constexpr double kIdleShare = 0.15;
 constexpr double kCallerShare = 0.2;
 constexpr double kLongPollShare = 0.5;
+constexpr double kReadinessShare = 0.01;
+constexpr double kStatusShare = 0.04;
+constexpr int kMinReadiness = 8;
+constexpr int kMinStatus = 16;
 // Used if the system states no limit or a higher one. The expected load never
 // needs more.
 constexpr int kMaxUsableDescriptors = 65'536;
@@ -26,8 +30,14 @@
 
 descriptor_budget DivideDescriptors(int descriptors) {
   const int sockets = std::max(0, descriptors - kReservedDescriptors);
-  return {Scale(sockets, kOutgoingShare), Scale(sockets, kIdleShare),
-          Scale(sockets, kCallerShare), Scale(sockets, kLongPollShare)};
+  descriptor_budget budget;
+  budget.outgoing = Scale(sockets, kOutgoingShare);
+  budget.idle = Scale(sockets, kIdleShare);
+  budget.callers = Scale(sockets, kCallerShare);
+  budget.readiness = std::max(Scale(sockets, kReadinessShare), kMinReadiness);
+  budget.status = std::max(Scale(sockets, kStatusShare), kMinStatus);
+  budget.long_polls = Scale(sockets, kLongPollShare);
+  return budget;
 }
 
 int GetDescriptorLimit() {
--- a/programs/entry/descriptor_budget.h
+++ b/programs/entry/descriptor_budget.h
@@ -6,9 +6,11 @@
 /// Limits on connections that follow from the number of file descriptors that a
 /// process may open.
 struct descriptor_budget {
-  int outgoing = 0;  ///< To the store and to minions, idle ones included.
-  int idle = 0;      ///< Outgoing connections kept open without a call.
-  int callers = 0;   ///< From callers; further ones are closed at once.
+  int outgoing = 0;   ///< To the store and to minions, idle ones included.
+  int idle = 0;       ///< Outgoing connections kept open without a call.
+  int callers = 0;    ///< From callers.
+  int readiness = 0;  ///< From load balancers.
+  int status = 0;     ///< From operators and from other entry processes.
   /// Polls of minions that wait for a run to end. Each holds an outgoing
   /// connection.
   int long_polls = 0;
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -20,7 +20,10 @@
 
 constexpr int kOk = 200;
 constexpr int kServiceUnavailable = 503;
-constexpr std::uint64_t kMaxBodyBytes = 1 << 20;
+// Parts of the machine's memory for requests and for answers that are held.
+constexpr std::uint64_t kRequestMemoryDivisor = 8;
+constexpr std::uint64_t kAnswerMemoryDivisor = 4;
+constexpr std::uint64_t kBytesPerMb = 1 << 20;
 // The load balancer stops sending new connections after two failed readiness
 // checks one second apart. Until this share of the stop grace has passed, new
 // connections are served.
@@ -34,8 +37,27 @@
 constexpr duration kTcpUserTimeout = 2s;
 constexpr duration kConnectTimeout = 700ms;
 
-http_client_options ClientOptions(const descriptor_budget& budget) {
+// Memory for messages: `megabytes`, or if that is 0 the given part of the
+// machine's memory.
+std::shared_ptr<memory_budget> MakeMemoryBudget(const entry_settings& settings,
+                                                int megabytes,
+                                                std::uint64_t divisor) {
+  const std::uint64_t machine =
+      settings.memory_mb > 0
+          ? static_cast<std::uint64_t>(settings.memory_mb) * kBytesPerMb
+          : SystemMemoryBytes();
+  return memory_budget::Make(
+      megabytes > 0 ? static_cast<std::uint64_t>(megabytes) * kBytesPerMb
+                    : machine / divisor);
+}
+
+http_client_options ClientOptions(const descriptor_budget& budget,
+                                  const entry_settings& settings) {
   http_client_options options;
+  options.max_body_bytes =
+      static_cast<std::uint64_t>(settings.limits.answer_body_bytes);
+  options.memory = MakeMemoryBudget(settings, settings.limits.answer_memory_mb,
+                                    kAnswerMemoryDivisor);
   options.max_connections = budget.outgoing;
   options.max_idle = budget.idle;
   options.connect_timeout = kConnectTimeout;
@@ -57,10 +79,15 @@
       budget_(DivideDescriptors(settings_.descriptors > 0
                                     ? settings_.descriptors
                                     : GetDescriptorLimit())),
+      request_memory_(MakeMemoryBudget(settings_,
+                                       settings_.limits.request_memory_mb,
+                                       kRequestMemoryDivisor)),
       metrics_(counters_),
       context_(settings_.threads),
       signals_(context_),
-      client_(http_client::Make(context_, ClientOptions(budget_), counters_)),
+      client_(http_client::Make(context_,
+                                ClientOptions(budget_, settings_),
+                                counters_)),
       adapter_(make_adapter(client_, settings_, counters_)),
       store_(SuspendAwareNow, counters_),
       table_(store_.Wrap(adapter_.table)) {}
@@ -137,11 +164,22 @@
 
 std::shared_ptr<http_server> entry_node::StartServer(
     const std::string& address,
+    int max_connections,
     http_server::handler handle) {
+  const message_limits& limits = settings_.limits;
   http_server_options options;
   options.address = address;
-  options.max_body_bytes = kMaxBodyBytes;
-  options.max_connections = budget_.callers;
+  options.max_body_bytes =
+      static_cast<std::uint64_t>(limits.request_body_bytes);
+  options.max_header_bytes =
+      static_cast<std::uint32_t>(limits.request_header_bytes);
+  options.max_header_fields = limits.request_header_fields;
+  options.max_connections = max_connections;
+  options.memory = request_memory_;
+  options.on_limit = [](client_limit limit, const std::string& at) {
+    LogDecision("client_limit",
+                {{"limit", std::string(GetName(limit))}, {"address", at}});
+  };
   auto server =
       http_server::Make(context_, options, counters_, std::move(handle));
   if (!server) {
@@ -152,15 +190,15 @@
 }
 
 bool entry_node::Listen() {
-  caller_server_ =
-      StartServer(settings_.callers, [this](http_exchange exchange) {
-        callers_->Handle(std::move(exchange));
-      });
+  caller_server_ = StartServer(settings_.callers, budget_.callers,
+                               [this](http_exchange exchange) {
+                                 callers_->Handle(std::move(exchange));
+                               });
   readiness_server_ = StartServer(
-      settings_.readiness,
+      settings_.readiness, budget_.readiness,
       [this](const http_exchange& exchange) { AnswerReadiness(exchange); });
-  status_server_ =
-      StartServer(settings_.status, [this](const http_exchange& exchange) {
+  status_server_ = StartServer(
+      settings_.status, budget_.status, [this](const http_exchange& exchange) {
         if (!exchange.request.Header(kRelayedHeader).empty()) {
           callers_->HandleRelayed(exchange);
         } else {
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -49,6 +49,7 @@
  private:
   bool Listen();
   std::shared_ptr<http_server> StartServer(const std::string& address,
+                                           int max_connections,
                                            http_server::handler handle);
   void WaitForSignals();
   void ReloadSettings();
@@ -60,6 +61,7 @@
   entry_settings settings_;
   const std::string settings_path_;
   const descriptor_budget budget_;
+  const std::shared_ptr<memory_budget> request_memory_;
   counter_table counters_;
   metrics metrics_;
   boost::asio::io_context context_;
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -22,6 +22,9 @@
 // Minimum to serve callers, the store and a few minions at the same time.
 constexpr int kMinDescriptors = 400;
 constexpr int kMaxDescriptors = 1 << 20;
+// An idle process takes 10 MB, the owner of the jobs several times that.
+constexpr int kMinMemoryMb = 32;
+constexpr int kMaxMemoryMb = 1 << 24;
 
 std::string ReadAddress(yaml_reader& reader,
                         const std::string& key,
@@ -92,6 +95,19 @@
       ReadSeconds(reader, "state_seconds", settings.state_time);
 }
 
+void ReadLimits(yaml_reader& reader, message_limits& limits) {
+  const auto read = [&reader](const char* key, int low, int high, int& value) {
+    value = static_cast<int>(reader.ReadInteger(key, low, high, value));
+  };
+  read("request_header_bytes", 1 << 10, 1 << 20, limits.request_header_bytes);
+  read("request_header_fields", 10, 10'000, limits.request_header_fields);
+  read("request_body_bytes", 1 << 10, 1 << 28, limits.request_body_bytes);
+  read("request_memory_mb", 0, kMaxMemoryMb, limits.request_memory_mb);
+  // The store answers with up to 1 MB at a time.
+  read("answer_body_bytes", 2 << 20, 1 << 30, limits.answer_body_bytes);
+  read("answer_memory_mb", 0, kMaxMemoryMb, limits.answer_memory_mb);
+}
+
 }  // namespace
 
 parsed_entry_settings ParseEntrySettings(const std::string& file,
@@ -113,6 +129,8 @@
             static_cast<int>(reader.ReadInteger("threads", 1, kMaxThreads, 1));
         settings.descriptors = static_cast<int>(reader.ReadInteger(
             "descriptors", kMinDescriptors, kMaxDescriptors, 0));
+        settings.memory_mb = static_cast<int>(
+            reader.ReadInteger("memory_mb", kMinMemoryMb, kMaxMemoryMb, 0));
         settings.decision_lines = static_cast<int>(reader.ReadInteger(
             "decision_lines", 0, kMaxDecisionLines, settings.decision_lines));
         settings.processor_share =
@@ -120,6 +138,9 @@
         reader.ReadMap("bounds", [&](yaml_reader& bounds) {
           ReadDurationBounds(bounds, settings);
         });
+        reader.ReadMap("limits", [&](yaml_reader& limits) {
+          ReadLimits(limits, settings.limits);
+        });
         reader.ReadMap("policy", [&](yaml_reader& policy) {
           for (const sched::policy_switch_info& info : sched::kPolicySwitches) {
             bool& value = settings.policy.*info.value;
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -11,6 +11,19 @@
 
 namespace sassafras {
 
+/// Limits for messages of clients and servers that the operator does not
+/// control. Settings key: limits.
+struct message_limits {
+  int request_header_bytes = 16 << 10;
+  int request_header_fields = 100;
+  int request_body_bytes = 1 << 20;
+  /// Of all requests in progress or incomplete; 0: an eighth of the memory.
+  int request_memory_mb = 0;
+  int answer_body_bytes = 16 << 20;  ///< From the store, minions and policies.
+  /// Of all answers that are incomplete; 0: a quarter of the memory.
+  int answer_memory_mb = 0;
+};
+
 /// Settings of one entry process.
 struct entry_settings {
   process_id id;
@@ -25,6 +38,7 @@
   int threads = 1;
   double processor_share = 1;  ///< Cores that the process may use.
   int descriptors = 0;       ///< Open file descriptors; 0: the system's limit.
+  int memory_mb = 0;         ///< Memory of the machine; 0: the system's memory.
   int decision_lines = 150;  ///< Log lines per second about single decisions.
   /// Longest lease of a run on a minion. Settings key: greatest_lease.
   duration max_lease{6'000'000};
@@ -43,6 +57,7 @@
   /// Time for which a submission that was not accepted is remembered: longer
   /// than a copy of it can be on its way.
   duration tombstone_time{3'600'000'000};
+  message_limits limits;
   sched::policy_switches policy;
 };
 
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -5,6 +5,7 @@
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <chrono>
+#include <cstddef>
 #include <list>
 #include <map>
 #include <memory>
@@ -22,8 +23,11 @@
   explicit connection(boost::asio::io_context& context)
       : stream(boost::asio::make_strand(context)) {}
 
+  /// Bounds the header, chunk lines and trailer section of an answer.
+  static constexpr std::size_t kMaxBufferBytes = 64 << 10;
+
   boost::beast::tcp_stream stream;
-  boost::beast::flat_buffer buffer;
+  boost::beast::flat_buffer buffer{kMaxBufferBytes};
   std::chrono::steady_clock::time_point idle_since;
 };
 
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -164,12 +164,42 @@
       return;
     }
     parser_.emplace();
+    parser_->eager(true);
     parser_->body_limit(owner_->Options().max_body_bytes);
-    http::async_read(connection_->stream, connection_->buffer, *parser_,
-                     [self = shared_from_this()](beast::error_code read_code,
-                                                 std::size_t /*bytes*/) {
-                       self->OnRead(read_code);
-                     });
+    if (owner_->Options().memory) {
+      memory_ = owner_->Options().memory->Open([] {});
+    }
+    ReadSome();
+  }
+
+  // Reads a part of the answer at a time, so that each is accounted for.
+  void ReadSome() {
+    http::async_read_some(connection_->stream, connection_->buffer, *parser_,
+                          [self = shared_from_this()](beast::error_code code,
+                                                      std::size_t /*bytes*/) {
+                            self->OnReadSome(code);
+                          });
+  }
+
+  void OnReadSome(beast::error_code code) {
+    if (!done_) {
+      return;
+    }
+    if (!code && !ChargeMemory()) {
+      owner_->Counters().Add("client_answer_over_budget");
+      Abort(answer_state::kUnknown);
+    } else if (code || parser_->is_done()) {
+      OnRead(code);
+    } else {
+      ReadSome();
+    }
+  }
+
+  bool ChargeMemory() {
+    const std::string& body = parser_->get().body();
+    return !memory_ ||
+           memory_->Resize(connection_->buffer.capacity() +
+                           std::min(body.capacity(), body.size() * 2));
   }
 
   void OnRead(beast::error_code code) {
@@ -177,9 +207,13 @@
       return;
     }
     if (code) {
+      const bool is_too_large = code == http::error::buffer_overflow ||
+                                code == http::error::body_limit ||
+                                code == http::error::header_limit;
       owner_->Counters().Add(code == beast::error::timeout
                                  ? "client_read_timeout"
-                                 : "client_read_failed");
+                             : is_too_large ? "client_answer_too_large"
+                                            : "client_read_failed");
       Abort(answer_state::kUnknown);
       return;
     }
@@ -238,6 +272,7 @@
   asio::any_io_executor executor_;
   http::request<http::string_body> message_;
   std::optional<http::response_parser<http::string_body>> parser_;
+  std::unique_ptr<memory_budget::holder> memory_;
   bool is_write_started_ = false;
 };
 
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -9,6 +9,10 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <cctype>
+#include <chrono>
+#include <cstdint>
+#include <iterator>
+#include <limits>
 #include <mutex>
 #include <optional>
 #include <set>
@@ -51,6 +55,26 @@
 
 }  // namespace
 
+std::string_view GetName(client_limit limit) {
+  switch (limit) {
+    case client_limit::kHeaderBytes:
+      return "header_bytes";
+    case client_limit::kHeaderFields:
+      return "header_fields";
+    case client_limit::kFraming:
+      return "framing";
+    case client_limit::kBody:
+      return "body";
+    case client_limit::kTime:
+      return "time";
+    case client_limit::kMemory:
+      return "memory";
+    case client_limit::kConnections:
+      return "connections";
+  }
+  return "unknown";
+}
+
 // Accepts connections and counts the open ones.
 class http_server::impl : public std::enable_shared_from_this<impl> {
  public:
@@ -64,7 +88,12 @@
         counters_(counters),
         handle_(std::move(handle)),
         context_(context),
-        acceptor_(asio::make_strand(context)) {}
+        acceptor_(asio::make_strand(context)) {
+    if (!options_.memory) {
+      options_.memory =
+          memory_budget::Make(http_server_options::kDefaultMemoryBytes);
+    }
+  }
 
   bool Listen() {
     const auto address = ParseAddress(options_.address);
@@ -78,6 +107,13 @@
     if (!code) {
       acceptor_.set_option(asio::socket_base::reuse_address(true), code);
     }
+    if (!code && options_.receive_buffer_bytes > 0) {
+      // Connections inherit it. Without it the server still works.
+      beast::error_code ignored;
+      acceptor_.set_option(
+          asio::socket_base::receive_buffer_size(options_.receive_buffer_bytes),
+          ignored);
+    }
     if (!code) {
       acceptor_.bind(endpoint, code);
     }
@@ -92,6 +128,8 @@
   void AcceptUnlessDraining();
   void Drain();
   void Remove(session* ended);
+  bool CloseLongestWaiting();
+  void OnLimit(client_limit limit);
 
   int CountConnections() const {
     const std::lock_guard lock(mutex_);
@@ -124,7 +162,9 @@
     : public std::enable_shared_from_this<session> {
  public:
   session(std::shared_ptr<impl> owner, tcp::socket socket)
-      : owner_(std::move(owner)), stream_(std::move(socket)) {}
+      : owner_(std::move(owner)),
+        stream_(std::move(socket)),
+        buffer_(owner_->Options().max_header_bytes / 4 * 5) {}
 
   ~session() { owner_->Remove(this); }
   session(const session&) = delete;
@@ -133,10 +173,35 @@
   void Start() {
     SetLivenessOptions(beast::get_lowest_layer(stream_).socket(),
                        kKeepaliveIdle, kTcpUserTimeout);
+    memory_ = owner_->Options().memory->Open([weak = weak_from_this()] {
+      if (const auto alive = weak.lock()) {
+        alive->GiveWay(client_limit::kMemory);
+      }
+    });
     asio::dispatch(stream_.get_executor(),
                    [self = shared_from_this()] { self->WaitForRequest(); });
   }
 
+  // Closes the connection in favour of others, unless a complete request is in
+  // progress on it. May be called from any thread.
+  void GiveWay(client_limit limit) {
+    is_giving_way_.store(true);
+    asio::post(stream_.get_executor(), [self = shared_from_this(), limit] {
+      self->is_giving_way_.store(false);
+      if (self->IsWaiting() && !self->is_closed_) {
+        self->owner_->OnLimit(limit);
+        self->Close();
+      }
+    });
+  }
+
+  bool IsGivingWay() const { return is_giving_way_.load(); }
+
+  // Whether no complete request is in progress. The time since which that is so
+  // may be read from any thread.
+  bool IsWaiting() const { return WaitingSince() != kNotWaiting; }
+  std::int64_t WaitingSince() const { return waiting_since_.load(); }
+
   // Closes the connection if no request is in progress on it.
   void CloseIfIdle() {
     asio::post(stream_.get_executor(), [self = shared_from_this()] {
@@ -153,7 +218,10 @@
       return;
     }
     is_idle_ = true;
+    SetWaiting(true);
+    ChargeMemory();
     parser_.emplace();
+    parser_->eager(true);
     parser_->body_limit(owner_->Options().max_body_bytes);
     parser_->header_limit(owner_->Options().max_header_bytes);
     if (buffer_.size() > 0) {
@@ -175,12 +243,58 @@
 
   void ReadRequest() {
     is_idle_ = false;
+    memory_->SetIncomplete(true);
     stream_.expires_after(owner_->Options().read_timeout);
-    http::async_read(stream_, buffer_, *parser_,
-                     [self = shared_from_this()](beast::error_code code,
-                                                 std::size_t /*bytes*/) {
-                       self->OnRead(code);
-                     });
+    ReadSome();
+  }
+
+  // Reads a part of the request at a time, so that each is accounted for.
+  void ReadSome() {
+    http::async_read_some(stream_, buffer_, *parser_,
+                          [self = shared_from_this()](beast::error_code code,
+                                                      std::size_t /*bytes*/) {
+                            self->OnReadSome(code);
+                          });
+  }
+
+  void OnReadSome(beast::error_code code) {
+    if (!code && HasTooManyFields()) {
+      Refuse(client_limit::kHeaderFields, error_kind::kTooLarge,
+             "too many header fields");
+    } else if (!code && !ChargeMemory()) {
+      Refuse(client_limit::kMemory, error_kind::kQueueFull,
+             "too many requests are incomplete");
+    } else if (code || parser_->is_done()) {
+      OnRead(code);
+    } else {
+      ReadSome();
+    }
+  }
+
+  bool HasTooManyFields() const {
+    if (!parser_->is_header_done()) {
+      return false;
+    }
+    const auto& fields = parser_->get();
+    return std::distance(fields.begin(), fields.end()) >
+           owner_->Options().max_header_fields;
+  }
+
+  // Bytes held for the request that is read, or for one that is in progress. A
+  // string may reserve more than it holds, but touches no more than twice that.
+  bool ChargeMemory() {
+    std::uint64_t bytes = buffer_.capacity();
+    if (parser_) {
+      const std::string& body = parser_->get().body();
+      bytes += std::min(body.capacity(), body.size() * 2);
+    }
+    return memory_->Resize(bytes + request_bytes_);
+  }
+
+  void SetWaiting(bool is_waiting) {
+    const std::int64_t now =
+        std::chrono::steady_clock::now().time_since_epoch().count();
+    waiting_since_.store(is_waiting ? now : kNotWaiting);
   }
 
   void OnRead(beast::error_code code) {
@@ -188,11 +302,14 @@
       HandleReadError(code);
       return;
     }
+    SetWaiting(false);
+    memory_->SetIncomplete(false);
     is_keep_alive_ = parser_->get().keep_alive();
     stream_.expires_never();
     const std::uint64_t number = ++request_number_;
     http_exchange exchange;
     exchange.request = ToRequest(parser_->release());
+    request_bytes_ = exchange.request.body.size();
     exchange.reply = [self = shared_from_this(), number](http_response r) {
       asio::post(self->stream_.get_executor(),
                  [self, number, response = std::move(r)]() mutable {
@@ -279,6 +396,8 @@
     message_->keep_alive(is_keep_alive_);
     message_->body() = std::move(response.body);
     message_->prepare_payload();
+    request_bytes_ = 0;
+    memory_->ForceResize(buffer_.capacity() + message_->body().size());
     stream_.expires_after(kWriteTimeout);
     http::async_write(stream_, *message_,
                       [self = shared_from_this()](beast::error_code code,
@@ -294,6 +413,9 @@
     }
     if (is_watching_) {
       // The pending watch read becomes the first read of the next request.
+      message_.reset();
+      SetWaiting(true);
+      memory_->ForceResize(buffer_.capacity());
       is_waiting_for_watch_ = true;
       is_idle_ = true;
       stream_.expires_after(owner_->Options().idle_timeout);
@@ -305,21 +427,53 @@
     WaitForRequest();
   }
 
+  // Answers a request that exceeds a limit, and closes the connection.
+  void Refuse(client_limit limit, error_kind kind, const std::string& detail) {
+    owner_->OnLimit(limit);
+    owner_->Counters().AddError(kind);
+    parser_.reset();
+    is_keep_alive_ = false;
+    SetWaiting(false);
+    memory_->SetIncomplete(false);
+    http_response response = ErrorResponse(Fail(kind, detail));
+    if (GetErrorInfo(kind).retryable) {
+      response.headers["Retry-After"] = "1";
+    }
+    Write(std::move(response));
+  }
+
+  // The limit that ended the reading of a request, if one did.
+  std::optional<client_limit> LimitOf(beast::error_code code) const {
+    if (code == http::error::header_limit) {
+      return client_limit::kHeaderBytes;
+    }
+    if (code == http::error::body_limit) {
+      return client_limit::kBody;
+    }
+    if (code == http::error::buffer_overflow) {
+      return parser_->is_header_done() ? client_limit::kFraming
+                                       : client_limit::kHeaderBytes;
+    }
+    return std::nullopt;
+  }
+
   void HandleReadError(beast::error_code code) {
+    if (const auto limit = LimitOf(code)) {
+      Refuse(*limit, error_kind::kTooLarge, code.message());
+      return;
+    }
     if (code == http::error::end_of_stream ||
         code == asio::error::operation_aborted ||
         code == asio::error::connection_reset) {
       Close();
       return;
     }
-    error_kind kind = error_kind::kMalformed;
-    if (code == http::error::body_limit || code == http::error::header_limit) {
-      kind = error_kind::kTooLarge;
-    } else if (code == beast::error::timeout) {
-      kind = error_kind::kTooSlow;
-    }
+    const error_kind kind = code == beast::error::timeout
+                                ? error_kind::kTooSlow
+                                : error_kind::kMalformed;
     owner_->Counters().AddError(kind);
     if (kind == error_kind::kTooSlow) {
+      owner_->OnLimit(client_limit::kTime);
       Close();  // The timeout has already closed the stream.
       return;
     }
@@ -335,6 +489,7 @@
   }
 
   static constexpr std::size_t kFirstReadBytes = 4096;
+  static constexpr std::int64_t kNotWaiting = -1;
 
   std::shared_ptr<impl> owner_;
   beast::tcp_stream stream_;
@@ -342,6 +497,10 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::optional<http::response<http::string_body>> message_;
   disconnect_handler disconnect_handler_;
+  std::unique_ptr<memory_budget::holder> memory_;
+  std::uint64_t request_bytes_ = 0;  // Of the request in progress.
+  std::atomic<std::int64_t> waiting_since_{kNotWaiting};
+  std::atomic<bool> is_giving_way_{false};
   std::uint64_t request_number_ = 0;
   bool is_keep_alive_ = false;
   bool is_idle_ = false;
@@ -367,8 +526,11 @@
           const std::lock_guard lock(self->mutex_);
           self->sessions_.insert(added.get());
         }
-        if (self->CountConnections() > self->options_.max_connections) {
+        const bool is_full =
+            self->CountConnections() > self->options_.max_connections;
+        if (is_full && !self->CloseLongestWaiting()) {
           self->counters_.Add("refused_connection_limit");
+          self->OnLimit(client_limit::kConnections);
         } else {
           added->Start();
         }
@@ -414,6 +576,36 @@
   }
 }
 
+// Tells the connection that has been longest without a complete request to
+// close. Returns whether there is one.
+bool http_server::impl::CloseLongestWaiting() {
+  std::shared_ptr<session> longest;
+  {
+    const std::lock_guard lock(mutex_);
+    std::int64_t since = std::numeric_limits<std::int64_t>::max();
+    session* found = nullptr;
+    for (session* item : sessions_) {
+      if (item->IsWaiting() && !item->IsGivingWay() &&
+          item->WaitingSince() < since) {
+        since = item->WaitingSince();
+        found = item;
+      }
+    }
+    longest = found == nullptr ? nullptr : found->weak_from_this().lock();
+  }
+  if (longest) {
+    longest->GiveWay(client_limit::kConnections);
+  }
+  return longest != nullptr;
+}
+
+void http_server::impl::OnLimit(client_limit limit) {
+  counters_.Add("client_limit_" + std::string(GetName(limit)));
+  if (options_.on_limit) {
+    options_.on_limit(limit, options_.address);
+  }
+}
+
 void http_server::impl::Remove(session* ended) {
   const std::lock_guard lock(mutex_);
   sessions_.erase(ended);
--- a/tests/entry_settings_test.cc
+++ b/tests/entry_settings_test.cc
@@ -82,6 +82,12 @@
   faulty = kCompleteSettings;
   faulty.replace(faulty.find("4.5"), 3, "x.5");
   CHECK(list_faults(faulty).find("stop_grace_seconds") != std::string::npos);
+  CHECK(list_faults(kCompleteSettings + "memory_mb: 1\n").find("memory_mb") !=
+        std::string::npos);
+  CHECK(list_faults(kCompleteSettings +
+                    "limits:\n  request_header_fields: many\n")
+            .find("s.yaml:16: limits.request_header_fields") !=
+        std::string::npos);
 }
 
 // Guards against decisions about overload in a deployment that did not ask for
--- a/tests/http_test.cc
+++ b/tests/http_test.cc
@@ -556,6 +556,47 @@
 #endif
 }
 
+// Guards against an answer of a broken store or minion that fills the memory.
+TEST_CASE("An answer beyond the limits ends its call") {
+  asio::io_context context;
+  counter_table counters;
+  http_client_options options;
+  options.max_body_bytes = 100'000;
+  options.memory = memory_budget::Make(60'000);
+  const auto client = http_client::Make(context, options, counters);
+  const auto call = [&](const std::string& answer_text) {
+    scripted_server server(answer_text);
+    http_answer received;
+    client->Call(server.Address(), {"GET", "/", {}, ""},
+                 connection_choice::kPooled, std::chrono::seconds(20),
+                 [&](http_answer answer) { received = std::move(answer); });
+    context.restart();
+    context.run();
+    return received.state;
+  };
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+  SECTION("trailers without end") {
+    std::string trailers;
+    for (int i = 0; i < 10'000; ++i) {
+      trailers += "field: value\r\n";
+    }
+    CHECK(call(chunked + "0\r\n" + trailers) == answer_state::kUnknown);
+    CHECK(counters.Get("client_answer_too_large") == 1);
+  }
+  SECTION("a body over the limit") {
+    CHECK(call("HTTP/1.1 200 OK\r\ncontent-length: 100001\r\n\r\n") ==
+          answer_state::kUnknown);
+    CHECK(counters.Get("client_answer_too_large") == 1);
+  }
+  SECTION("a body within the limit for which the process has no memory") {
+    CHECK(call("HTTP/1.1 200 OK\r\ncontent-length: 90000\r\n\r\n" +
+               std::string(90'000, 'x')) == answer_state::kUnknown);
+    CHECK(counters.Get("client_answer_over_budget") == 1);
+  }
+  CHECK(options.memory->Used() == 0);
+}
+
 TEST_CASE("The table port distinguishes lost answers from refused commits") {
   asio::io_context context;
   counter_table counters;
