Refuse jobs that would end long after their objective; prefer owners by link

Cause: every submission got its 2xx at once, and under overload jobs waited until nobody wanted their answer. Change: the owner publishes the expected waits of new jobs in forecasts/queues, with the teams' accounts for the next owner; entry processes follow the row and refuse with 429 a job whose expected end is after twice its objective. A tombstone with the number of refusals is stored first, so that no copy of an earlier call is accepted after the refusal. The capacity that a lease holder states counts the new setting link_mbps.

--- a/include/sassafras/sched/acceptance.h
+++ b/include/sassafras/sched/acceptance.h
@@ -2,6 +2,7 @@
 #define SASSAFRAS_SCHED_ACCEPTANCE_H_
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -29,9 +30,19 @@
  public:
   explicit acceptance(accepted_job job);
 
+  /// Whether to refuse a submission of which earlier ones were refused so
+  /// often.
+  using refusal_rule = std::function<bool(int earlier_refusals)>;
+
   /// Returns the first write. Called once.
   table_transaction Begin();
 
+  /// Like Begin(), for a submission that admission control refuses. The
+  /// tombstone is written first, so that no copy of an earlier call can be
+  /// accepted afterwards. It counts the refusals, and if `should_refuse` no
+  /// longer holds for their number, the job is submitted after all.
+  table_transaction BeginRefusal(refusal_rule should_refuse);
+
   /// Processes the answer to the last write. Returns the next write, or empty
   /// if the submission is decided and Result() is set.
   std::optional<table_transaction> OnAnswer(const commit_answer& answer);
@@ -39,11 +50,16 @@
   /// Empty until the submission is decided.
   const std::optional<acceptance_result>& Result() const { return result_; }
 
+  /// Whether a tombstone is stored in place of the job.
+  bool HasStoredTombstone() const { return has_stored_tombstone_; }
+
   /// Whether the last write of the job was to replace a tombstone.
   bool HasReplacedTombstone() const { return expected_version_ != 0; }
 
  private:
   std::optional<table_transaction> OnConflict(const commit_answer& answer);
+  std::optional<table_transaction> OnTombstone(std::uint64_t version,
+                                               int refusals);
   table_transaction Submit(std::uint64_t expected_version);
   table_transaction Refuse();
   std::optional<table_transaction> Finish(acceptance_result how);
@@ -52,6 +68,9 @@
   std::string key_;
   std::uint64_t expected_version_ = 0;
   bool is_refusing_ = false;
+  refusal_rule should_refuse_;  // Empty: the submission is to be accepted.
+  int refusals_ = 0;            // Stated in the tombstone.
+  bool has_stored_tombstone_ = false;
   bool has_unknown_write_ = false;
   int writes_ = 0;
   std::optional<acceptance_result> result_;
--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -55,6 +55,8 @@
 struct job_row {
   job_row_kind kind = job_row_kind::kAccepted;
   accepted_job job;  ///< Default value in a tombstone.
+  /// Of a refused job: submissions of it that admission control has refused.
+  int refusals = 0;
 
   bool IsAccepted() const { return kind == job_row_kind::kAccepted; }
 };
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -5,6 +5,7 @@
 #include <random>
 #include <string_view>
 
+#include "sassafras/sched/admission.h"
 #include "sassafras/sched/job_codec.h"
 #include "sassafras/telemetry/log.h"
 
@@ -293,11 +294,64 @@
   job.stretch = queue.stretch;
   job.target = queue.target;
   job.spec = std::move(spec.value());
+  if (RefuseIfWaitTooLong(job, answer)) {
+    return;
+  }
   const auto acceptance = std::make_shared<sched::acceptance>(std::move(job));
   const table_transaction first_write = acceptance->Begin();
   CommitAcceptance(acceptance, first_write, id, answer);
 }
 
+// Refuses a job that is known to wait for longer than its objective allows.
+// Returns whether the call is dealt with: the answer is sent once the tombstone
+// is stored, or once the job is accepted after all.
+bool caller_service::RefuseIfWaitTooLong(const sched::accepted_job& job,
+                                         const reply& answer) {
+  const auto tolerable =
+      deps_.expected_wait ? sched::TolerableWait(job) : std::nullopt;
+  if (!tolerable) {
+    return false;
+  }
+  const duration expected = deps_.expected_wait(job.queue, job.team);
+  const auto excess = sched::FindExcessWait(expected, *tolerable, 0);
+  if (!excess) {
+    return false;
+  }
+  const duration retry_after = sched::RetryDelayFor(*excess, Random());
+  const auto acceptance = std::make_shared<sched::acceptance>(job);
+  const table_transaction first_write =
+      acceptance->BeginRefusal([expected, tolerable](int earlier_refusals) {
+        return sched::FindExcessWait(expected, *tolerable, earlier_refusals)
+            .has_value();
+      });
+  const reply finish = [self = shared_from_this(), acceptance, job, expected,
+                        tolerable, retry_after,
+                        answer](const caller_answer& outcome) {
+    if (outcome.failure != error_kind::kStoreUnavailable ||
+        !acceptance->HasStoredTombstone()) {
+      self->deps_.counters.Add(outcome.failure ? "admission_not_decided"
+                                               : "admission_after_refusals");
+      answer(outcome);
+      return;
+    }
+    self->deps_.counters.Add("admission_refused");
+    LogDecision(
+        "submission_refused",
+        {{"job", job.id},
+         {"queue", job.queue},
+         {"team", job.team},
+         {"expected_wait_ms", std::to_string(expected.count() / 1000)},
+         {"tolerable_wait_ms", std::to_string(tolerable->count() / 1000)},
+         {"retry_after_ms", std::to_string(retry_after.count() / 1000)}});
+    caller_answer refusal = self->MakeRefusal(
+        error_kind::kQueueFull, "it would wait for longer than its objective");
+    refusal.retry_after = retry_after;
+    answer(refusal);
+  };
+  CommitAcceptance(acceptance, first_write, job.id, finish);
+  return true;
+}
+
 void caller_service::CommitAcceptance(
     std::shared_ptr<sched::acceptance> acceptance,
     const table_transaction& write,
@@ -511,4 +565,9 @@
   return duration(distribution(random_));
 }
 
+double caller_service::Random() const {
+  const std::lock_guard lock(random_mutex_);
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
 }  // namespace sassafras
--- a/programs/entry/caller_service.h
+++ b/programs/entry/caller_service.h
@@ -44,6 +44,10 @@
                        std::uint64_t min_version,
                        std::function<void(relay_answer)> done)>
         relay;
+    /// Expected wait of a new job of a queue and team. Empty: no job is refused
+    /// for its wait.
+    std::function<duration(const std::string& queue, const std::string& team)>
+        expected_wait;
   };
 
   static std::shared_ptr<caller_service> Make(dependencies deps);
@@ -87,6 +91,7 @@
                  const sched::job_queue& queue,
                  const std::string& id,
                  const reply& answer);
+  bool RefuseIfWaitTooLong(const sched::accepted_job& job, const reply& answer);
   void CommitAcceptance(std::shared_ptr<sched::acceptance> acceptance,
                         const table_transaction& write,
                         const std::string& id,
@@ -102,6 +107,7 @@
   void ReadWaitingCount(const std::string& queue, const reply& answer);
   sched::caller_answer MakeRefusal(error_kind kind, std::string detail) const;
   duration RetryDelay() const;
+  double Random() const;
 
   const dependencies deps_;
   std::atomic<int> calls_in_progress_{0};
--- a/programs/entry/entry_node.cc
+++ b/programs/entry/entry_node.cc
@@ -126,15 +126,25 @@
   stalls_ = stall_watch::Make(
       std::min(settings_.state_time, settings_.tombstone_time) / 2, counters_,
       {SuspendAwareNow, after});
+  std::function<duration(const std::string&, const std::string&)> expected_wait;
+  if (settings_.policy.admission_control) {
+    forecasts_ = forecast_watch::Make(adapter_.table, counters_,
+                                      {SuspendAwareNow, after});
+    expected_wait = [this](const std::string& queue, const std::string& team) {
+      return forecasts_->ExpectedWait(queue, team);
+    };
+  }
   callers_ = caller_service::Make(
       {adapter_, table_, store_, *config_, settings_, counters_, metrics_,
        SuspendAwareNow, [this] { return stalls_->MayReadOldCalls(); },
        [this](const http_request& request, std::uint64_t min_version,
               std::function<void(relay_answer)> done) {
          relay_->Relay(request, min_version, std::move(done));
-       }});
+       },
+       std::move(expected_wait)});
   pages_ = std::make_unique<status_pages>(settings_.id.value, metrics_,
-                                          *config_, store_, *owner_, *callers_);
+                                          *config_, store_, *owner_, *callers_,
+                                          forecasts_.get());
   if (!Listen()) {
     return 1;
   }
@@ -143,6 +153,9 @@
   config_->Start();
   owner_->Start();
   relay_->Start();
+  if (forecasts_) {
+    forecasts_->Start();
+  }
   LogEvent("process_started",
            {{"callers", settings_.callers},
             {"place", settings_.place.value},
--- a/programs/entry/entry_node.h
+++ b/programs/entry/entry_node.h
@@ -12,6 +12,7 @@
 #include "programs/entry/config_watch.h"
 #include "programs/entry/descriptor_budget.h"
 #include "programs/entry/entry_settings.h"
+#include "programs/entry/forecast_watch.h"
 #include "programs/entry/job_owner.h"
 #include "programs/entry/platform_adapter.h"
 #include "programs/entry/stall_watch.h"
@@ -74,6 +75,8 @@
   std::shared_ptr<job_owner> owner_;
   std::shared_ptr<call_relay> relay_;
   std::shared_ptr<stall_watch> stalls_;
+  std::shared_ptr<forecast_watch>
+      forecasts_;  // Null: admission control is off.
   std::shared_ptr<caller_service> callers_;
   std::unique_ptr<status_pages> pages_;
   std::shared_ptr<http_server> caller_server_;
--- a/programs/entry/entry_settings.cc
+++ b/programs/entry/entry_settings.cc
@@ -18,6 +18,7 @@
 constexpr duration kMaxDuration = hours(24);
 constexpr int kMaxThreads = 64;
 constexpr double kMaxProcessorShare = 1024;
+constexpr double kMaxLinkMbps = 1e6;
 constexpr int kMaxDecisionLines = 100'000;
 // Minimum to serve callers, the store and a few minions at the same time.
 constexpr int kMinDescriptors = 400;
@@ -59,6 +60,17 @@
   return share;
 }
 
+double ReadLinkBandwidth(yaml_reader& reader, const std::string& key) {
+  const std::string text = reader.ReadString(key, "");
+  const double bandwidth = ParseNumber(text);
+  if (!text.empty() && (bandwidth <= 0 || bandwidth > kMaxLinkMbps)) {
+    reader.AddFault(key, "'" + text + "' is out of range",
+                    "megabits per second above 0, up to 1000000, such as 10");
+    return 0;
+  }
+  return bandwidth;
+}
+
 // Reads a number of seconds, with or without a fraction, as platforms state it.
 duration ReadSeconds(yaml_reader& reader,
                      const std::string& key,
@@ -135,6 +147,7 @@
             "decision_lines", 0, kMaxDecisionLines, settings.decision_lines));
         settings.processor_share =
             ReadProcessorShare(reader, "processor_share");
+        settings.link_mbps = ReadLinkBandwidth(reader, "link_mbps");
         reader.ReadMap("bounds", [&](yaml_reader& bounds) {
           ReadDurationBounds(bounds, settings);
         });
--- a/programs/entry/entry_settings.h
+++ b/programs/entry/entry_settings.h
@@ -37,6 +37,7 @@
 
   int threads = 1;
   double processor_share = 1;  ///< Cores that the process may use.
+  double link_mbps = 0;      ///< Bandwidth of its network link; 0: not a limit.
   int descriptors = 0;       ///< Open file descriptors; 0: the system's limit.
   int memory_mb = 0;         ///< Memory of the machine; 0: the system's memory.
   int decision_lines = 150;  ///< Log lines per second about single decisions.
--- a/programs/entry/job_owner.cc
+++ b/programs/entry/job_owner.cc
@@ -36,6 +36,10 @@
 // new tenure needs a token of its own.
 constexpr std::uint64_t kFencesPerEpoch = 1000;
 
+// Bandwidth below which orders and polls wait for the link. At 350 minions and
+// 10 Mbit/s half as many urgent jobs again are late.
+constexpr double kSufficientLinkMbps = 100;
+
 std::string MakeIncarnation() {
   std::random_device random;
   return std::to_string((std::uint64_t{random()} << 32U) | random());
@@ -61,6 +65,14 @@
 
 }  // namespace
 
+double OwnerCapacityOf(const entry_settings& settings) {
+  const double link_share =
+      settings.link_mbps > 0
+          ? std::min(settings.link_mbps / kSufficientLinkMbps, 1.0)
+          : 1.0;
+  return settings.processor_share * link_share;
+}
+
 std::shared_ptr<job_owner> job_owner::Make(const platform_adapter& adapter,
                                            const table_port& table,
                                            const entry_settings& settings,
@@ -99,7 +111,7 @@
   }
   options.is_id_exclusive = true;
   if (settings_.policy.hand_over_ownership) {
-    options.capacity = settings_.processor_share;
+    options.capacity = OwnerCapacityOf(settings_);
   }
   if (settings_.processor_share < kLowProcessorShare) {
     options.acquire_delay = kLowShareAcquireDelay;
@@ -240,6 +252,7 @@
         MakeWorkOptions(settings_, max_long_polls_), fence, hooks_.now(),
         counters_);
     published_waiting_counts_.clear();
+    published_forecast_.clear();
     upkeep_.reset();
   }
   counters_.Add("ownership_gained");
--- a/programs/entry/job_owner.h
+++ b/programs/entry/job_owner.h
@@ -150,6 +150,8 @@
   void ListMinions(std::uint64_t tenure);
   void ApplyMinionRows(std::uint64_t tenure, const read_answer& answer);
   void PublishWaitingCounts(std::uint64_t tenure);
+  void LoadForecast(std::uint64_t tenure);
+  void PublishForecast(std::uint64_t tenure);
   void EraseExpiredJobs(std::uint64_t tenure);
   void EraseJob(std::uint64_t tenure, const sched::expired_job& job);
   void OnJobRowErased(std::uint64_t tenure,
@@ -222,8 +224,15 @@
   instant last_commit_at_;
   std::uint64_t waiting_counts_version_ = 0;
   std::string published_waiting_counts_;
+  std::uint64_t forecast_version_ = 0;
+  std::string published_forecast_;
 };
 
+/// What a process can do as the owner of the jobs, in cores. A slow link is as
+/// much of a limit as a small share of a core, and processes of much larger
+/// capacity are handed the ownership.
+double OwnerCapacityOf(const entry_settings& settings);
+
 }  // namespace sassafras
 
 #endif  // SASSAFRAS_PROGRAMS_ENTRY_JOB_OWNER_H_
--- a/programs/entry/job_owner_rows.cc
+++ b/programs/entry/job_owner_rows.cc
@@ -116,6 +116,10 @@
   FollowJobs(tenure, jobs.store_version);
   ListMinions(tenure);
   PublishWaitingCounts(tenure);
+  if (settings_.policy.admission_control ||
+      settings_.policy.share_between_teams) {
+    LoadForecast(tenure);
+  }
   EraseExpiredJobs(tenure);
   if (adapter_.machines.list) {
     LoadWaves(tenure);
--- a/programs/entry/status_pages.cc
+++ b/programs/entry/status_pages.cc
@@ -46,6 +46,26 @@
           {"teams", std::move(teams)}};
 }
 
+// Null if no forecast was received.
+json ToJson(const forecast_watch& forecasts) {
+  if (forecasts.Age() == duration::max()) {
+    return nullptr;
+  }
+  json queues = json::object();
+  for (const auto& [name, queue] : forecasts.Queues()) {
+    json teams = json::object();
+    for (const auto& [team, wait] : queue.wait_of_team) {
+      teams[team] = wait.count() / kMicrosecondsPerMillisecond;
+    }
+    queues[name] = {{"others_ms", queue.wait_of_others.count() /
+                                      kMicrosecondsPerMillisecond},
+                    {"teams_ms", std::move(teams)}};
+  }
+  return {{"age_ms", forecasts.Age().count() / kMicrosecondsPerMillisecond},
+          {"is_valid", forecasts.Age() <= forecast_watch::kValidity},
+          {"queues", std::move(queues)}};
+}
+
 json ToJson(const sched::minion_status& row) {
   return {{"id", row.id},
           {"service", row.service},
@@ -62,13 +82,15 @@
                            const config_watch& config,
                            const store_watch& store,
                            const job_owner& owner,
-                           const caller_service& callers)
+                           const caller_service& callers,
+                           const forecast_watch* forecasts)
     : id_(std::move(id)),
       metrics_(metrics_registry),
       config_(config),
       store_(store),
       owner_(owner),
-      callers_(callers) {}
+      callers_(callers),
+      forecasts_(forecasts) {}
 
 http_response status_pages::Answer(const std::string& path) const {
   http_response response;
@@ -131,6 +153,9 @@
                  {"config_age_ms", ConfigAgeMs(config_)},
                  {"store_away", store_.IsUnavailable()},
                  {"evacuated", config_.Evacuations().Places()}};
+  if (forecasts_ != nullptr) {
+    status["forecast"] = ToJson(*forecasts_);
+  }
   if (const auto work = owner_.Summary()) {
     json minions = json::array();
     for (const sched::minion_status& row : owner_.Minions()) {
--- a/src/sched/acceptance.cc
+++ b/src/sched/acceptance.cc
@@ -1,6 +1,7 @@
 #include "sassafras/sched/acceptance.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "sassafras/core/invariant.h"
 #include "sassafras/sched/caller.h"
@@ -30,10 +31,17 @@
   return Submit(0);
 }
 
+table_transaction acceptance::BeginRefusal(refusal_rule should_refuse) {
+  should_refuse_ = std::move(should_refuse);
+  refusals_ = 1;
+  return Refuse();
+}
+
 std::optional<table_transaction> acceptance::OnAnswer(
     const commit_answer& answer) {
   CheckInvariant(!result_.has_value(), "acceptance_is_decided_once");
   if (answer.state == answer_state::kDone) {
+    has_stored_tombstone_ = is_refusing_;
     return Finish(is_refusing_ ? acceptance_result::kRefused
                                : acceptance_result::kAccepted);
   }
@@ -74,12 +82,28 @@
     case job_row_kind::kRefused:
       break;
   }
-  // Since the tombstone is stored, a lost write that expects an earlier version
-  // fails.
+  return OnTombstone(row->version, current.value().refusals);
+}
+
+// Since a tombstone is stored, a lost write that expects an earlier version
+// fails.
+std::optional<table_transaction> acceptance::OnTombstone(std::uint64_t version,
+                                                         int refusals) {
+  const bool can_write = writes_ < kMaxWrites && !has_unknown_write_;
+  if (should_refuse_ && can_write) {
+    if (should_refuse_(refusals)) {
+      refusals_ = refusals + 1;
+      expected_version_ = version;
+      return Refuse();
+    }
+    should_refuse_ = nullptr;
+    is_refusing_ = false;
+  }
   if (is_refusing_ || writes_ >= kMaxWrites) {
+    has_stored_tombstone_ = true;
     return Finish(acceptance_result::kRefused);
   }
-  return Submit(row->version);
+  return Submit(version);
 }
 
 table_transaction acceptance::Submit(std::uint64_t expected_version) {
@@ -92,8 +116,8 @@
 table_transaction acceptance::Refuse() {
   ++writes_;
   is_refusing_ = true;
-  return {
-      {key_, expected_version_, EncodeJobRow({job_row_kind::kRefused, {}})}};
+  return {{key_, expected_version_,
+           EncodeJobRow({job_row_kind::kRefused, {}, refusals_})}};
 }
 
 std::optional<table_transaction> acceptance::Finish(acceptance_result how) {
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -1,5 +1,6 @@
 #include "sassafras/sched/job_codec.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <numeric>
 
@@ -185,8 +186,12 @@
 // and refuse submissions of the id, too.
 std::string EncodeJobRow(const job_row& row) {
   if (!row.IsAccepted()) {
-    return json{{"format", kRowFormat}, {std::string(GetName(row.kind)), true}}
-        .dump();
+    json tombstone = {{"format", kRowFormat},
+                      {std::string(GetName(row.kind)), true}};
+    if (row.refusals > 0) {
+      tombstone["refusals"] = row.refusals;
+    }
+    return tombstone.dump();
   }
   const accepted_job& job = row.job;
   json steps = json::array();
@@ -220,6 +225,7 @@
          {job_row_kind::kRefused, job_row_kind::kCancelled}) {
       if (document.value(std::string(GetName(kind)), false)) {
         row.kind = kind;
+        row.refusals = std::max(0, document.value("refusals", 0));
         return row;
       }
     }
--- a/tests/entry_settings_test.cc
+++ b/tests/entry_settings_test.cc
@@ -2,6 +2,7 @@
 
 #include "programs/entry/descriptor_budget.h"
 #include "programs/entry/entry_settings.h"
+#include "programs/entry/job_owner.h"
 
 namespace sassafras {
 namespace {
@@ -40,6 +41,18 @@
   CHECK(unknown.faults.size() == 1);
 }
 
+// Guards against an owner whose orders wait for its link beside processes with
+// fast ones.
+TEST_CASE("A slow link reduces the capacity of an owner") {
+  entry_settings settings;
+  settings.processor_share = 0.3;
+  CHECK(OwnerCapacityOf(settings) == Approx(0.3));
+  settings.link_mbps = 200;
+  CHECK(OwnerCapacityOf(settings) == Approx(0.3));
+  settings.link_mbps = 10;
+  CHECK(OwnerCapacityOf(settings) == Approx(0.03));
+}
+
 TEST_CASE("File descriptors are divided among kinds of connections") {
   const descriptor_budget budget = DivideDescriptors(4100);
 
@@ -82,6 +95,9 @@
   faulty = kCompleteSettings;
   faulty.replace(faulty.find("4.5"), 3, "x.5");
   CHECK(list_faults(faulty).find("stop_grace_seconds") != std::string::npos);
+  CHECK(
+      list_faults(kCompleteSettings + "link_mbps: fast\n").find("link_mbps") !=
+      std::string::npos);
   CHECK(list_faults(kCompleteSettings + "memory_mb: 1\n").find("memory_mb") !=
         std::string::npos);
   CHECK(list_faults(kCompleteSettings +
