--- a/tools/entry_soak.sh
+++ b/tools/entry_soak.sh
@@ -32,6 +32,14 @@
 readiness: 127.0.0.1:$((port + 1))
 status: 127.0.0.1:$((port + 2))
 store: 127.0.0.1:$kStorePort
+memory_mb: 120
+policy:
+  hold_room_for_gangs: true
+  order_by_objective: true
+  share_between_teams: true
+  weigh_evictions: true
+  protect_last_attempt: true
+  admission_control: true
 SETTINGS
 }
 
