Release sessions outside the lock when a connection gives way

Cause: read in the last look at the change: the search for the connection that has been longest without a request held the only reference of a session that ends on another thread meanwhile, whose destructor takes the same lock. Change: references are released after the lock.

--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -16,6 +16,7 @@
 #include <mutex>
 #include <optional>
 #include <set>
+#include <vector>
 
 #include "sassafras/config/address.h"
 #include "sassafras/net/call_after.h"
@@ -604,6 +605,8 @@
 // close. Returns whether there is one.
 bool http_server::impl::CloseLongestWaiting() {
   std::shared_ptr<session> longest;
+  // Released after the lock: a session that ends here takes it again.
+  std::vector<std::shared_ptr<session>> considered;
   {
     const std::lock_guard lock(mutex_);
     std::int64_t since = std::numeric_limits<std::int64_t>::max();
@@ -615,7 +618,8 @@
       }
       if (auto alive = item->weak_from_this().lock()) {
         since = waiting_since;
-        longest = std::move(alive);
+        longest = alive;
+        considered.push_back(std::move(alive));
       }
     }
   }
