--- /dev/null
+++ b/review/standin-3/main.cc
@@ -0,0 +1,637 @@
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <set>
+
+#include "review/standin-3/callers.h"
+#include "review/standin-3/entries.h"
+#include "review/standin-3/lab.h"
+#include "review/standin-3/link.h"
+#include "review/standin-3/minions.h"
+#include "review/standin-3/store.h"
+#include "sassafras/net/call_after.h"
+
+namespace sassafras::review {
+namespace {
+
+namespace asio = boost::asio;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+constexpr char kHost[] = "lab.example";
+constexpr char kKey[] = "key-of-the-only-team";
+constexpr char kPrefix[] = "/batch/";
+constexpr int kHeld = 0;
+constexpr int kBroken = 1;
+constexpr int kNotRun = 2;
+// finish_s of the deployments.
+constexpr duration kFinish = 14s;
+// A job with nothing running for this time, though there is room, is lost.
+constexpr duration kMaxIdle = 3s;
+
+std::ofstream record;
+instant began;
+
+// One task of a job that the case submits.
+struct submitted_job {
+  std::string id;
+  int tasks = 1;  ///< In all occurrences.
+  work what;
+  int times = 0;  ///< 0: it is due at once.
+  std::int64_t due_unix_ms = 0;
+  std::int64_t interval_ms = 1000;
+  bool is_due_later = false;  ///< After the end of the case.
+};
+
+// A small deployment with clients. Cases derive from it.
+class lab {
+ public:
+  lab(std::string folder, bool has_trouble, minions::options workers)
+      : folder_(std::move(folder)),
+        has_trouble_(has_trouble),
+        rows_(context_),
+        workers_(context_, rows_, workers),
+        clients_(context_, kHost, kKey),
+        fronts_(folder_) {
+    rows_.on_refusal = [this](const std::string& what) {
+      if (++refusals_ <= 20) {
+        Record("the store refused " + what);
+      }
+    };
+  }
+  virtual ~lab() = default;
+  lab(const lab&) = delete;
+  lab& operator=(const lab&) = delete;
+
+  int Run() {
+    store_address_ = FreeAddress();
+    if (!rows_.Start(store_address_) || !workers_.Start()) {
+      return kNotRun;
+    }
+    rows_.Put("op", "config", Configuration());
+    StartEntries();
+    WatchMemory();
+    After(10s, [this] { Play(); });
+    context_.run();
+    std::string peaks;
+    for (const auto& [index, mb] : peak_mb_) {
+      peaks += " " + std::to_string(static_cast<int>(mb));
+    }
+    Record("peak MB of the entries:" + peaks);
+    Record("entries running at the end: " + std::to_string(CountRunning()) +
+           "; calls that the store refused: " + std::to_string(refusals_));
+    return result_;
+  }
+
+ protected:
+  virtual void StartEntries() {
+    for (int i = 0; i < 3; ++i) {
+      StartEntry({store_address_});
+    }
+  }
+  virtual void Play() = 0;
+  virtual json Queues() const {
+    return json::array({{{"name", "batch"},
+                         {"host", kHost},
+                         {"prefix", kPrefix},
+                         {"service", "lab"},
+                         {"priority", 1},
+                         {"attempts", 3},
+                         {"stretch", 3.0},
+                         {"targetDurationMs", 60000}}});
+  }
+
+  void StartEntry(const entry_machine& machine) {
+    const int index = fronts_.Start(machine);
+    if (index < 0) {
+      Finish(kNotRun);
+      return;
+    }
+    clients_.fronts.push_back(fronts_.Callers(index));
+  }
+
+  void After(duration delay, std::function<void()> action) {
+    CallAfter(context_, delay, std::move(action));
+  }
+
+  void Submit(const submitted_job& job, json step_fields = json::object()) {
+    json step = {{"count", job.tasks / std::max(1, job.times)},
+                 {"cpu", job.what.cpu},
+                 {"memMb", 256},
+                 {"estimateMs", job.what.run_ms}};
+    step.update(step_fields);
+    json body = {{"spec", EncodeWork(job.what)}, {"steps", {step}}};
+    if (job.times > 0) {
+      body["times"] = job.times;
+      body["startAtMs"] = job.due_unix_ms;
+      body["intervalMs"] = job.interval_ms;
+    }
+    jobs_.push_back(job);
+    clients_.Submit(kPrefix, job.id, body);
+  }
+
+  // By the rule LOST: after the end of the traffic and kFinish, each accepted
+  // job is asked for, and none may have nothing running for kMaxIdle while
+  // there is room for its tasks.
+  void JudgeAfterTraffic() {
+    Record("end of the traffic");
+    After(kFinish, [this] {
+      Record("asking for all jobs");
+      for (const submitted_job& job : jobs_) {
+        if (clients_.jobs[job.id].is_accepted) {
+          clients_.Ask(kPrefix, job.id);
+        }
+      }
+      Watch(Now() + kMaxIdle + 500ms);
+    });
+  }
+
+  void Finish(int result) {
+    result_ = result;
+    context_.stop();
+  }
+
+  // The platform kills a process that exceeds the memory of its machine.
+  void WatchMemory() {
+    for (int i = 0; i < fronts_.Count(); ++i) {
+      const double mb = fronts_.MemoryMb(i);
+      peak_mb_[i] = std::max(peak_mb_[i], mb);
+      if (mb > fronts_.Machine(i).memory_mb) {
+        ++memory_kills_[i];
+        Record("entry " + std::to_string(i) + " has " +
+               std::to_string(static_cast<int>(mb)) + " MB of " +
+               std::to_string(fronts_.Machine(i).memory_mb) +
+               ", the platform kills it");
+        fronts_.Signal(i, SIGKILL);
+        After(1s, [this, i] { fronts_.StartAgain(i); });
+      }
+    }
+    After(50ms, [this] { WatchMemory(); });
+  }
+
+  int CountRunning() {
+    int running = 0;
+    for (int i = 0; i < fronts_.Count(); ++i) {
+      running += fronts_.IsRunning(i) ? 1 : 0;
+    }
+    return running;
+  }
+
+  const std::string folder_;
+  const bool has_trouble_;
+  asio::io_context context_;
+  std::string store_address_;
+  store rows_;
+  minions workers_;
+  callers clients_;
+  entries fronts_;
+  std::vector<submitted_job> jobs_;
+  int refusals_ = 0;
+  std::map<int, int> memory_kills_;
+  std::map<int, double> peak_mb_;
+
+ private:
+  json Configuration() const {
+    return {{"version", 7},
+            {"routes", Queues()},
+            {"services",
+             json::array({{{"name", "lab"}, {"admissionControl", false}}})},
+            {"tenants", json::array({{{"name", "team"}, {"apiKeys", {kKey}}}})},
+            {"limits", json::object()}};
+  }
+
+  bool IsUnfinished(const submitted_job& job) {
+    const job_view& view = clients_.jobs[job.id];
+    return view.is_accepted && !view.is_cancelled && !job.is_due_later &&
+           (job.what.lasts || workers_.CountDone(job.id) < job.tasks);
+  }
+
+  void Watch(instant until) {
+    const instant now = Now();
+    const bool is_busy = workers_.UsedShare() >= 0.5;
+    for (const submitted_job& job : jobs_) {
+      const bool is_idle = IsUnfinished(job) && !is_busy &&
+                           workers_.CountRunning(job.id) == 0 &&
+                           workers_.RoomFor(job.what.cpu) >= 2 * job.what.gang;
+      if (!is_idle) {
+        idle_since_.erase(job.id);
+      } else if (!idle_since_.contains(job.id)) {
+        idle_since_[job.id] = now;
+      } else if (now - idle_since_[job.id] >= kMaxIdle) {
+        idle_.insert(job.id);
+      }
+    }
+    if (now < until) {
+      After(100ms, [this, until] { Watch(until); });
+      return;
+    }
+    Judge();
+  }
+
+  void Judge() {
+    int accepted = 0;
+    int complete = 0;
+    int lost = 0;
+    for (const submitted_job& job : jobs_) {
+      const job_view& view = clients_.jobs[job.id];
+      std::string answers;
+      for (const std::string& answer : view.answers) {
+        answers += " " + answer;
+      }
+      std::string fault;
+      if (view.is_accepted) {
+        ++accepted;
+        complete += view.last_state == "complete" ? 1 : 0;
+        if (view.last_status == 0) {
+          fault = "no answer about it in time";
+        } else if (view.last_status == 410) {
+          fault = "said not to exist";
+        } else if (view.last_state == "failed" &&
+                   workers_.CountFailed(job.id) == 0) {
+          fault = "shown as failed, and no run of it ended failed";
+        } else if (view.last_state == "cancelled" && !view.is_cancelled) {
+          fault = "shown as cancelled, and nobody cancelled it";
+        } else if (idle_.contains(job.id)) {
+          fault = "nothing of it runs for 3 s, with room for it";
+        }
+      }
+      lost += fault.empty() ? 0 : 1;
+      Record("job " + job.id + " answers" + answers + ", starts " +
+             std::to_string(workers_.CountStarts(job.id)) + ", done " +
+             std::to_string(workers_.CountDone(job.id)) + " of " +
+             std::to_string(job.tasks) + ", running " +
+             std::to_string(workers_.CountRunning(job.id)) + ", shown as " +
+             (view.last_status == 200 ? view.last_state
+                                      : std::to_string(view.last_status)) +
+             (fault.empty() ? "" : "  LOST: " + fault));
+    }
+    Record("cores in use: " +
+           std::to_string(static_cast<int>(workers_.UsedShare() * 100)) +
+           "%; jobs accepted " + std::to_string(accepted) + ", complete " +
+           std::to_string(complete) + ", LOST " + std::to_string(lost));
+    // The rule on faults: processes on a tenth of the machines, two at least,
+    // end by themselves three times.
+    int machines_with_fault = 0;
+    for (const auto& [index, kills] : memory_kills_) {
+      machines_with_fault += kills >= 3 ? 1 : 0;
+    }
+    if (machines_with_fault >= 2) {
+      Record("FAULT: on " + std::to_string(machines_with_fault) +
+             " machines processes ended three times or more");
+    }
+    Finish(accepted == 0                          ? kNotRun
+           : lost > 0 || machines_with_fault >= 2 ? kBroken
+                                                  : kHeld);
+  }
+
+  int result_ = kNotRun;
+  std::map<std::string, instant> idle_since_;
+  std::set<std::string> idle_;
+};
+
+// Large scheduled jobs that are due at the same time, or one after the other.
+class jobs_due_at_once : public lab {
+ public:
+  jobs_due_at_once(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 48}) {}
+
+ private:
+  static constexpr int kJobs = 28;
+  static constexpr int kTasks = 460;
+  static constexpr std::int64_t kGapMs = 2000;
+
+  void Play() override {
+    const std::int64_t due = UnixMs() + 6000;
+    for (int i = 0; i < kJobs; ++i) {
+      submitted_job job;
+      job.id = callers::NewId(i + 1);
+      job.tasks = kTasks;
+      job.what = {800, false, 400, 1};
+      job.times = 1;
+      job.due_unix_ms = due + (has_trouble_ ? 0 : i * kGapMs);
+      After(i * 50ms, [this, job] { Submit(job); });
+    }
+    Record("28 jobs of 460 tasks, " +
+           std::string(has_trouble_ ? "due at once" : "due 2 s apart"));
+    const duration last = 6s + (has_trouble_ ? 0 : kJobs) * 2s;
+    // A small job comes after them.
+    After(last, [this] {
+      submitted_job job;
+      job.id = callers::NewId(1000);
+      job.tasks = 4;
+      job.what = {500, false, 500, 1};
+      Submit(job);
+    });
+    After(last + 1s, [this] { JudgeAfterTraffic(); });
+  }
+};
+
+// A job that lasts, on workers of which one at a time crashes.
+class lasting_job_crashes : public lab {
+ public:
+  lasting_job_crashes(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 8}) {}
+
+ private:
+  static constexpr int kCrashes = 6;
+
+  void Play() override {
+    submitted_job job;
+    job.id = callers::NewId(1);
+    job.tasks = 1;
+    job.what = {1000, true, 4000, 1};
+    Submit(job, {{"persistent", true}});
+    workers_.on_start = [](const std::string& task, std::int64_t run,
+                           int worker) {
+      Record("start of " + task + " run " + std::to_string(run) +
+             " on worker " + std::to_string(worker));
+    };
+    After(6s, [this] { CrashNext(0); });
+  }
+
+  void CrashNext(int crashes) {
+    const auto at = workers_.WorkersOf(jobs_.front().id);
+    clients_.Ask(kPrefix, jobs_.front().id);
+    After(500ms, [this] {
+      Record("shown as " + clients_.jobs[jobs_.front().id].last_state);
+    });
+    if (crashes == kCrashes || at.empty()) {
+      JudgeAfterTraffic();
+      return;
+    }
+    if (has_trouble_) {
+      const int worker = at.front();
+      Record("worker " + std::to_string(worker) + " crashes for 4.5 s");
+      workers_.Crash(worker);
+      After(4500ms, [this, worker] { workers_.Restart(worker); });
+    }
+    After(11s, [this, crashes] { CrashNext(crashes + 1); });
+  }
+};
+
+// One job with many occurrences, or several with as many together.
+class long_schedule : public lab {
+ public:
+  long_schedule(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 16}) {}
+
+ private:
+  static constexpr int kOccurrences = 6000;
+  static constexpr int kJobs = 4;
+  static constexpr std::int64_t kIntervalMs = 6;
+
+  void Play() override {
+    const int jobs = has_trouble_ ? 1 : kJobs;
+    for (int i = 0; i < jobs; ++i) {
+      submitted_job job;
+      job.id = callers::NewId(i + 1);
+      job.times = kOccurrences / jobs;
+      job.tasks = job.times;
+      job.what = {200, false, 500, 1};
+      job.due_unix_ms = UnixMs() + 1000;
+      job.interval_ms = kIntervalMs * jobs;
+      Submit(job);
+    }
+    Record(std::to_string(jobs) + " jobs with " +
+           std::to_string(kOccurrences / jobs) + " occurrences each");
+    for (int i = 0; i < 20; ++i) {
+      After(i * 2500ms, [this, i] {
+        submitted_job job;
+        job.id = callers::NewId(1000 + i);
+        job.tasks = 4;
+        job.what = {500, false, 500, 1};
+        Submit(job);
+      });
+    }
+    After(51s, [this] { JudgeAfterTraffic(); });
+  }
+};
+
+// Scheduled jobs with many tasks that are not due yet. The platform kills a
+// process that exceeds the memory of its machine, and starts it again.
+class schedules_fill_memory : public lab {
+ public:
+  schedules_fill_memory(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 16}) {}
+
+ private:
+  static constexpr int kJobs = 12;
+  static constexpr int kTimes = 10'000;
+  static constexpr int kCount = 10;
+
+  void Play() override {
+    for (int i = 0; i < kJobs; ++i) {
+      After(i * 1s, [this, i] {
+        submitted_job job;
+        job.id = callers::NewId(i + 1);
+        job.times = has_trouble_ ? kTimes : kTimes / 100;
+        job.tasks = job.times * kCount;
+        job.what = {200, false, 500, 1};
+        job.due_unix_ms = UnixMs() + 3'600'000;
+        job.interval_ms = 60'000;
+        job.is_due_later = true;
+        Submit(job);
+      });
+    }
+    for (int i = 0; i < 20; ++i) {
+      After(i * 2500ms, [this, i] {
+        submitted_job job;
+        job.id = callers::NewId(1000 + i);
+        job.tasks = 4;
+        job.what = {500, false, 500, 1};
+        Submit(job);
+      });
+    }
+    After(51s, [this] { JudgeAfterTraffic(); });
+  }
+};
+
+// A large gang waits for a worker that a long job holds.
+class large_gang_waits : public lab {
+ public:
+  large_gang_waits(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 8}) {}
+
+ private:
+  void Play() override {
+    submitted_job holder;
+    holder.id = callers::NewId(1);
+    holder.what = {90'000, false, 128'000, 1};
+    Submit(holder);
+    if (has_trouble_) {
+      After(1s, [this] {
+        Record("a gang of 8 tasks with 128 cores each is handed in");
+        submitted_job gang;
+        gang.id = callers::NewId(2);
+        gang.tasks = 8;
+        gang.what = {10'000, false, 128'000, 8};
+        Submit(gang, {{"gang", true}});
+      });
+    }
+    After(2s, [this] {
+      submitted_job lasting;
+      lasting.id = callers::NewId(3);
+      lasting.what = {1000, true, 4000, 1};
+      Submit(lasting, {{"persistent", true}});
+      for (int i = 0; i < 5; ++i) {
+        submitted_job job;
+        job.id = callers::NewId(10 + i);
+        job.what = {100'000, false, 4000, 1};
+        Submit(job);
+      }
+    });
+    After(3s, [this] { JudgeAfterTraffic(); });
+  }
+};
+
+// The machines with fast links are removed; those that stay have slow ones.
+class slow_links_stay : public lab {
+ public:
+  slow_links_stay(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 16}) {}
+
+ private:
+  static constexpr int kStrong = 2;
+  static constexpr int kWeak = 3;
+  static constexpr std::size_t kSpecBytes = 1200;
+  static constexpr duration kTraffic = 62s;
+  static constexpr duration kStrongStay = 56s;
+
+  void StartEntries() override {
+    for (int i = 0; i < kStrong + kWeak; ++i) {
+      entry_machine machine;
+      const bool is_strong = i < kStrong;
+      machine.cores = is_strong ? 0.5 : 0.12;
+      machine.link_mbps = is_strong ? 200 : 10;
+      machine.memory_mb = is_strong ? 512 : 160;
+      links_.push_back(link::Make(context_, store_address_, machine.link_mbps));
+      machine.store = links_.back()->Address();
+      StartEntry(machine);
+    }
+  }
+
+  void Play() override {
+    end_ = Now() + kTraffic;
+    SubmitNext();
+    if (has_trouble_) {
+      After(kStrongStay, [this] {
+        Record("machines 0 and 1 are removed");
+        for (int i = 0; i < kStrong; ++i) {
+          fronts_.Signal(i, SIGKILL);
+        }
+      });
+      // The platform stops sending new connections there.
+      After(kStrongStay + 2s, [this] {
+        clients_.fronts.erase(clients_.fronts.begin(),
+                              clients_.fronts.begin() + kStrong);
+      });
+    }
+    After(kTraffic, [this] { JudgeAfterTraffic(); });
+  }
+
+  void SubmitNext() {
+    submitted_job job;
+    job.id = callers::NewId(++number_);
+    job.tasks = 2;
+    job.what = {900, false, 2000, 1, kSpecBytes};
+    Submit(job);
+    if (Now() + 60ms < end_) {
+      After(50ms, [this] { SubmitNext(); });
+    }
+  }
+
+  std::vector<std::shared_ptr<link>> links_;
+  std::uint64_t number_ = 0;
+  instant end_;
+};
+
+int Main(int argc, char** argv) {
+  if (argc != 3) {
+    std::cerr << "usage: lab CASE RECORD\n";
+    return kNotRun;
+  }
+  const std::string name = argv[1];
+  const char* trouble = std::getenv("TROUBLE");
+  const bool has_trouble = trouble == nullptr || std::string(trouble) != "0";
+  record.open(argv[2]);
+  began = Now();
+  std::string folder =
+      (std::filesystem::temp_directory_path() / "lab-XXXXXX").string();
+  if (!record || ::mkdtemp(folder.data()) == nullptr) {
+    return kNotRun;
+  }
+  ::signal(SIGPIPE, SIG_IGN);
+  Record("case " + name + (has_trouble ? "" : ", without the disruption"));
+  int result = kNotRun;
+  {
+    std::unique_ptr<lab> played;
+    if (name == "jobs-due-at-once") {
+      played = std::make_unique<jobs_due_at_once>(folder, has_trouble);
+    } else if (name == "lasting-job-crashes") {
+      played = std::make_unique<lasting_job_crashes>(folder, has_trouble);
+    } else if (name == "long-schedule") {
+      played = std::make_unique<long_schedule>(folder, has_trouble);
+    } else if (name == "schedules-fill-memory") {
+      played = std::make_unique<schedules_fill_memory>(folder, has_trouble);
+    } else if (name == "large-gang-waits") {
+      played = std::make_unique<large_gang_waits>(folder, has_trouble);
+    } else if (name == "slow-links-stay") {
+      played = std::make_unique<slow_links_stay>(folder, has_trouble);
+    }
+    if (played) {
+      result = played->Run();
+    }
+  }
+  Record(result == kBroken ? "BROKEN" : result == kHeld ? "held" : "not run");
+  if (std::getenv("KEEP") == nullptr) {
+    std::filesystem::remove_all(folder);
+  } else {
+    std::cout << folder << '\n';
+  }
+  std::cout << (result == kBroken ? "BROKEN"
+                : result == kHeld ? "held"
+                                  : "not run")
+            << '\n';
+  return result;
+}
+
+}  // namespace
+
+std::string FreeAddress() {
+  static std::set<int> given;
+  for (;;) {
+    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
+    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    ::close(socket);
+    const int port = ntohs(address.sin_port);
+    if (given.insert(port).second) {
+      return "127.0.0.1:" + std::to_string(port);
+    }
+  }
+}
+
+void Record(const std::string& line) {
+  const auto ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Now() - began);
+  record << ms.count() << " ms " << line << std::endl;
+}
+
+}  // namespace sassafras::review
+
+int main(int argc, char** argv) {
+  return sassafras::review::Main(argc, argv);
+}
