Rid the third review's stand-ins of what no case uses, and choose safe ports

Change: the unused parts are gone; ports lie below those of outgoing connections on an address of the script's own; a script in which an entry doesn't start ends with 2. Case 11's play is added.

--- a/review/standin-3/callers.cc
+++ b/review/standin-3/callers.cc
@@ -111,14 +111,4 @@
   });
 }
 
-void callers::Cancel(const std::string& prefix, const std::string& id) {
-  jobs[id].is_cancelled = true;
-  Send("DELETE", prefix + id, "", [id](const http_answer& answer) {
-    Record("DELETE " + id + " -> " +
-           (answer.state == answer_state::kDone
-                ? std::to_string(answer.response.status)
-                : "none"));
-  });
-}
-
 }  // namespace sassafras::review
--- a/review/standin-3/callers.h
+++ b/review/standin-3/callers.h
@@ -18,7 +18,6 @@
 struct job_view {
   std::vector<std::string> answers;  ///< To its submissions, in order.
   bool is_accepted = false;
-  bool is_cancelled = false;  ///< A cancelling was sent.
   instant accepted_at;
   std::string last_state;  ///< In the last answer to a question.
   int last_status = 0;     ///< Of the last question; 0: no answer in time.
@@ -37,7 +36,6 @@
               const std::string& id,
               const nlohmann::json& body);
   void Ask(const std::string& prefix, const std::string& id);
-  void Cancel(const std::string& prefix, const std::string& id);
 
   std::map<std::string, job_view> jobs;
   int open_calls = 0;
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -10,6 +10,7 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <random>
 #include <set>
 
 #include "review/standin-3/callers.h"
@@ -80,7 +81,14 @@
     rows_.Put("op", "config", Configuration());
     StartEntries();
     WatchMemory();
-    After(10s, [this] { Play(); });
+    After(10s, [this] {
+      if (CountRunning() < fronts_.Count()) {
+        Record("not all entries have started");
+        Finish(kNotRun);
+        return;
+      }
+      Play();
+    });
     context_.run();
     std::string peaks;
     for (const auto& [index, mb] : peak_mb_) {
@@ -211,7 +219,7 @@
 
   bool IsUnfinished(const submitted_job& job) {
     const job_view& view = clients_.jobs[job.id];
-    return view.is_accepted && !view.is_cancelled && !job.is_due_later &&
+    return view.is_accepted && !job.is_due_later &&
            (job.what.lasts || workers_.CountDone(job.id) < job.tasks);
   }
 
@@ -258,7 +266,7 @@
         } else if (view.last_state == "failed" &&
                    workers_.CountFailed(job.id) == 0) {
           fault = "shown as failed, and no run of it ended failed";
-        } else if (view.last_state == "cancelled" && !view.is_cancelled) {
+        } else if (view.last_state == "cancelled") {
           fault = "shown as cancelled, and nobody cancelled it";
         } else if (idle_.contains(job.id)) {
           fault = "nothing of it runs for 3 s, with room for it";
@@ -298,86 +306,6 @@
   std::set<std::string> idle_;
 };
 
-// Large scheduled jobs that are due at the same time, or one after the other.
-class jobs_due_at_once : public lab {
- public:
-  jobs_due_at_once(const std::string& folder, bool has_trouble)
-      : lab(folder, has_trouble, {.count = 48}) {}
-
- private:
-  static constexpr int kJobs = 28;
-  static constexpr int kTasks = 460;
-  static constexpr std::int64_t kGapMs = 2000;
-
-  void Play() override {
-    const std::int64_t due = UnixMs() + 6000;
-    for (int i = 0; i < kJobs; ++i) {
-      submitted_job job;
-      job.id = callers::NewId(i + 1);
-      job.tasks = kTasks;
-      job.what = {800, false, 400, 1};
-      job.times = 1;
-      job.due_unix_ms = due + (has_trouble_ ? 0 : i * kGapMs);
-      After(i * 50ms, [this, job] { Submit(job); });
-    }
-    Record("28 jobs of 460 tasks, " +
-           std::string(has_trouble_ ? "due at once" : "due 2 s apart"));
-    const duration last = 6s + (has_trouble_ ? 0 : kJobs) * 2s;
-    // A small job comes after them.
-    After(last, [this] {
-      submitted_job job;
-      job.id = callers::NewId(1000);
-      job.tasks = 4;
-      job.what = {500, false, 500, 1};
-      Submit(job);
-    });
-    After(last + 1s, [this] { JudgeAfterTraffic(); });
-  }
-};
-
-// A job that lasts, on workers of which one at a time crashes.
-class lasting_job_crashes : public lab {
- public:
-  lasting_job_crashes(const std::string& folder, bool has_trouble)
-      : lab(folder, has_trouble, {.count = 8}) {}
-
- private:
-  static constexpr int kCrashes = 6;
-
-  void Play() override {
-    submitted_job job;
-    job.id = callers::NewId(1);
-    job.tasks = 1;
-    job.what = {1000, true, 4000, 1};
-    Submit(job, {{"persistent", true}});
-    workers_.on_start = [](const std::string& task, std::int64_t run,
-                           int worker) {
-      Record("start of " + task + " run " + std::to_string(run) +
-             " on worker " + std::to_string(worker));
-    };
-    After(6s, [this] { CrashNext(0); });
-  }
-
-  void CrashNext(int crashes) {
-    const auto at = workers_.WorkersOf(jobs_.front().id);
-    clients_.Ask(kPrefix, jobs_.front().id);
-    After(500ms, [this] {
-      Record("shown as " + clients_.jobs[jobs_.front().id].last_state);
-    });
-    if (crashes == kCrashes || at.empty()) {
-      JudgeAfterTraffic();
-      return;
-    }
-    if (has_trouble_) {
-      const int worker = at.front();
-      Record("worker " + std::to_string(worker) + " crashes for 4.5 s");
-      workers_.Crash(worker);
-      After(4500ms, [this, worker] { workers_.Restart(worker); });
-    }
-    After(11s, [this, crashes] { CrashNext(crashes + 1); });
-  }
-};
-
 // One job with many occurrences, or several with as many together.
 class long_schedule : public lab {
  public:
@@ -554,6 +482,65 @@
   instant end_;
 };
 
+// The owner of a job of very many tasks is killed when half of them are done.
+class half_done_job_is_taken_over : public lab {
+ public:
+  half_done_job_is_taken_over(const std::string& folder, bool has_trouble)
+      : lab(folder, has_trouble, {.count = 48}) {}
+
+ private:
+  static constexpr int kEntries = 9;
+  static constexpr int kTimes = 10;
+  static constexpr int kCount = 10'000;
+
+  void StartEntries() override {
+    for (int i = 0; i < kEntries; ++i) {
+      StartEntry({store_address_});
+    }
+  }
+
+  void Play() override {
+    submitted_job wide;
+    wide.id = callers::NewId(1);
+    wide.tasks = kTimes * kCount;
+    wide.times = kTimes;
+    wide.interval_ms = 1;
+    wide.due_unix_ms = UnixMs() + 500;
+    wide.what = {100, false, 200, 1};
+    Submit(wide);
+    for (int i = 0; i < 12; ++i) {
+      After(60s + i * 1s, [this, i] {
+        submitted_job job;
+        job.id = callers::NewId(1000 + i);
+        job.tasks = 4;
+        job.what = {500, false, 500, 1};
+        Submit(job);
+      });
+    }
+    if (has_trouble_) {
+      After(66s, [this] {
+        const int owner = Owner();
+        Record("entry " + std::to_string(owner) + " is killed; tasks done: " +
+               std::to_string(workers_.CountDone(jobs_.front().id)));
+        fronts_.Signal(owner, SIGKILL);
+        After(500ms, [this, owner] { fronts_.StartAgain(owner); });
+      });
+    }
+    After(73s, [this] { JudgeAfterTraffic(); });
+  }
+
+  // The job takes most of the memory of its owner.
+  int Owner() {
+    int owner = 0;
+    for (int i = 1; i < fronts_.Count(); ++i) {
+      if (fronts_.MemoryMb(i) > fronts_.MemoryMb(owner)) {
+        owner = i;
+      }
+    }
+    return owner;
+  }
+};
+
 int Main(int argc, char** argv) {
   if (argc != 3) {
     std::cerr << "usage: lab CASE RECORD\n";
@@ -574,16 +561,15 @@
   int result = kNotRun;
   {
     std::unique_ptr<lab> played;
-    if (name == "jobs-due-at-once") {
-      played = std::make_unique<jobs_due_at_once>(folder, has_trouble);
-    } else if (name == "lasting-job-crashes") {
-      played = std::make_unique<lasting_job_crashes>(folder, has_trouble);
-    } else if (name == "long-schedule") {
+    if (name == "long-schedule") {
       played = std::make_unique<long_schedule>(folder, has_trouble);
     } else if (name == "schedules-fill-memory") {
       played = std::make_unique<schedules_fill_memory>(folder, has_trouble);
     } else if (name == "large-gang-waits") {
       played = std::make_unique<large_gang_waits>(folder, has_trouble);
+    } else if (name == "half-done-job-is-taken-over") {
+      played =
+          std::make_unique<half_done_job_is_taken_over>(folder, has_trouble);
     } else if (name == "slow-links-stay") {
       played = std::make_unique<slow_links_stay>(folder, has_trouble);
     }
@@ -606,20 +592,26 @@
 
 }  // namespace
 
+// A loopback address of its own and ports that are not given to outgoing
+// connections keep a port free until the process that gets it has begun.
 std::string FreeAddress() {
-  static std::set<int> given;
+  static std::mt19937 random{std::random_device{}()};
+  static const std::string host = "127." + std::to_string(20 + random() % 200) +
+                                  "." + std::to_string(1 + random() % 250) +
+                                  ".1";
+  static std::uint16_t port = 12'000 + random() % 10'000;
   for (;;) {
+    ++port;
     const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    ::bind(socket, reinterpret_cast<sockaddr*>(&address), size);
-    ::getsockname(socket, reinterpret_cast<sockaddr*>(&address), &size);
+    address.sin_port = htons(port);
+    ::inet_pton(AF_INET, host.c_str(), &address.sin_addr);
+    const bool is_free = ::bind(socket, reinterpret_cast<sockaddr*>(&address),
+                                sizeof address) == 0;
     ::close(socket);
-    const int port = ntohs(address.sin_port);
-    if (given.insert(port).second) {
-      return "127.0.0.1:" + std::to_string(port);
+    if (is_free) {
+      return host + ":" + std::to_string(port);
     }
   }
 }
--- a/review/standin-3/minions.cc
+++ b/review/standin-3/minions.cc
@@ -78,42 +78,6 @@
   return true;
 }
 
-void minions::Crash(int index) {
-  worker& at = *workers_.at(index);
-  for (const auto& [task, item] : at.running) {
-    --present_[{GangOf(task), item.number}];
-  }
-  at.is_up = false;
-  at.down_since = Now();
-  at.running.clear();
-  at.closed.clear();
-  at.ends.clear();
-  at.last_end = 0;
-  at.fence = 0;
-}
-
-void minions::Restart(int index) {
-  worker& at = *workers_.at(index);
-  at.is_up = true;
-  at.born = UnixMs();
-  at.clock_origin = Now();
-  at.lease_end = instant();
-  at.seq = 0;
-}
-
-std::vector<int> minions::WorkersOf(const std::string& job) const {
-  std::vector<int> found;
-  for (int i = 0; i < Count(); ++i) {
-    const auto& running = workers_[i]->running;
-    if (std::any_of(running.begin(), running.end(), [&](const auto& item) {
-          return JobOf(item.first) == job;
-        })) {
-      found.push_back(i);
-    }
-  }
-  return found;
-}
-
 double minions::UsedShare() const {
   std::int64_t used = 0;
   for (const auto& at : workers_) {
@@ -128,7 +92,7 @@
 std::int64_t minions::RoomFor(std::int64_t cpu) const {
   std::int64_t room = 0;
   for (const auto& at : workers_) {
-    std::int64_t free = at->is_up ? options_.cpu : 0;
+    std::int64_t free = options_.cpu;
     for (const auto& [task, item] : at->running) {
       free -= item.what.cpu;
     }
@@ -176,9 +140,6 @@
 
 void minions::Serve(int index, const http_exchange& exchange) {
   worker& at = *workers_[index];
-  if (!at.is_up) {
-    return;  // Silent.
-  }
   const auto answer = [&](int status, json body) {
     body["clockMs"] = ClockOf(at);
     body["born"] = at.born;
@@ -202,7 +163,7 @@
   at.fence = fence;
   const std::string& path = exchange.request.path;
   if (path == "/run-start") {
-    exchange.reply(HandleStart(at, index, order));
+    exchange.reply(HandleStart(at, order));
   } else if (path == "/run-stop") {
     exchange.reply(HandleStop(at, order));
   } else if (path == "/hold") {
@@ -213,8 +174,7 @@
     std::erase_if(at.ends, [&](const end& e) { return e.number <= seen; });
     const auto wait = std::chrono::milliseconds(
         std::min<std::int64_t>(order.value("waitMs", std::int64_t{0}), 2000));
-    AnswerHold(index, at.born, exchange, at.ends.empty() ? 0 : SIZE_MAX,
-               Now() + wait);
+    AnswerHold(index, exchange, at.ends.empty() ? 0 : SIZE_MAX, Now() + wait);
   } else if (path == "/pace") {
     answer(kOk, json::object());
   } else {
@@ -222,7 +182,7 @@
   }
 }
 
-http_response minions::HandleStart(worker& at, int index, const json& order) {
+http_response minions::HandleStart(worker& at, const json& order) {
   const std::string task = order.at("task");
   const std::int64_t number = order.at("run");
   const std::int64_t until = order.at("untilMs");
@@ -249,10 +209,6 @@
     at.running[task] = {number, DecodeWork(order.at("spec")), Now(), {}, {}};
     ++present_[{GangOf(task), number}];
     ++starts_[JobOf(task)];
-    ++total_starts_;
-    if (on_start) {
-      on_start(task, number, index);
-    }
   }
   return {kOk, {}, "application/json", json{{"clockMs", ClockOf(at)}}.dump()};
 }
@@ -301,21 +257,16 @@
 }
 
 void minions::AnswerHold(int index,
-                         std::int64_t born,
                          const http_exchange& exchange,
                          std::size_t known_ends,
                          instant until) {
   worker& at = *workers_[index];
-  if (!at.is_up || at.born != born) {
-    return;
-  }
   if (at.ends.size() != known_ends || Now() >= until) {
     exchange.reply(MakeList(at));
     return;
   }
-  CallAfter(context_, kTick, [=, this] {
-    AnswerHold(index, born, exchange, known_ends, until);
-  });
+  CallAfter(context_, kTick,
+            [=, this] { AnswerHold(index, exchange, known_ends, until); });
 }
 
 void minions::Close(worker& at,
@@ -387,16 +338,9 @@
   CallAfter(context_, kTick, [this] { Advance(); });
 }
 
-// A worker that is down sends no heartbeat, and its entry expires.
 void minions::Report() {
   for (int i = 0; i < Count(); ++i) {
     worker& at = *workers_[i];
-    if (!at.is_up) {
-      if (Now() - at.down_since > 3 * kHeartbeat) {
-        rows_.Erase("servers", at.id);
-      }
-      continue;
-    }
     rows_.Put(
         "servers", at.id,
         {{"service", "lab"},
--- a/review/standin-3/minions.h
+++ b/review/standin-3/minions.h
@@ -57,28 +57,16 @@
 
   bool Start();
 
-  /// Crashes worker `index`: it answers nothing, and everything on it is gone.
-  void Crash(int index);
-  /// Starts it again under the same id and address.
-  void Restart(int index);
-  bool IsUp(int index) const { return workers_.at(index)->is_up; }
   int Count() const { return static_cast<int>(workers_.size()); }
 
-  /// Returns the workers on which tasks of the job run.
-  std::vector<int> WorkersOf(const std::string& job) const;
   /// Returns the share of all cores that is in use.
   double UsedShare() const;
-  /// Returns how many more tasks of `cpu` fit now on workers that are up.
+  /// Returns how many more tasks of `cpu` fit now.
   std::int64_t RoomFor(std::int64_t cpu) const;
   int CountRunning(const std::string& job) const;
   int CountDone(const std::string& job) const;
   int CountFailed(const std::string& job) const;
   int CountStarts(const std::string& job) const;
-  int TotalStarts() const { return total_starts_; }
-
-  /// Called with each start.
-  std::function<void(const std::string& task, std::int64_t run, int worker)>
-      on_start;
 
  private:
   struct end {
@@ -92,7 +80,6 @@
     std::string address;
     std::string machine;
     std::shared_ptr<http_server> server;
-    bool is_up = true;
     std::int64_t born = 0;
     instant clock_origin;
     std::uint64_t fence = 0;
@@ -103,15 +90,13 @@
     std::map<std::string, std::int64_t>
         closed;  // Highest closed run of a task.
     std::vector<end> ends;
-    instant down_since;
   };
 
   void Serve(int index, const http_exchange& exchange);
-  http_response HandleStart(worker& at, int index, const nlohmann::json& order);
+  http_response HandleStart(worker& at, const nlohmann::json& order);
   http_response HandleStop(worker& at, const nlohmann::json& order);
   http_response MakeList(const worker& at) const;
   void AnswerHold(int index,
-                  std::int64_t born,
                   const http_exchange& exchange,
                   std::size_t known_ends,
                   instant until);
@@ -131,7 +116,6 @@
   std::map<std::string, int> failed_;
   std::map<std::string, int> starts_;
   std::map<std::pair<std::string, std::int64_t>, int> present_;  // Of gangs.
-  int total_starts_ = 0;
   instant last_advance_;
 };
 
--- a/review/standin-3/store.cc
+++ b/review/standin-3/store.cc
@@ -85,13 +85,6 @@
         {platform::EncodeBase64(value.dump()), version_, false});
 }
 
-void store::Erase(const std::string& table, const std::string& key) {
-  const row_key name{table, "", key};
-  if (rows_.erase(name) > 0) {
-    history_.emplace_back(name, row{"", ++version_, true});
-  }
-}
-
 std::string store::Value(const std::string& table,
                          const std::string& key) const {
   const auto it = rows_.find({table, "", key});
--- a/review/standin-3/store.h
+++ b/review/standin-3/store.h
@@ -26,11 +26,10 @@
   /// Listens on `address`. Returns false if that fails.
   bool Start(const std::string& address);
 
-  /// Writes or erases a row of an empty part for the operator or a minion.
+  /// Writes a row of an empty part for the operator or a minion.
   void Put(const std::string& table,
            const std::string& key,
            const nlohmann::json& value);
-  void Erase(const std::string& table, const std::string& key);
 
   /// Returns the decoded value of a row; empty if there is none.
   std::string Value(const std::string& table, const std::string& key) const;
