--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -8,7 +8,7 @@
   echo "not run: build the deploy file and run review/build-3.sh first"
   exit 2
 fi
-timeout -k 2 117 target/review-3/lab schedules-fill-memory review/11/record.txt
+timeout -k 2 117 target/review-3/lab half-done-job-is-taken-over review/11/record.txt
 result=$?
 [ "$result" -le 2 ] || result=2
 exit "$result"
