Case 15: tasks, gang and bounds of the site's sheet

Change: tasks of 52 cores and a gang of 16, as the kind shell-inspect has them; greatest_lease and checkpoint_seconds of the sheet, for all cases; the claim says what can be held against the case.

--- a/review/standin-3/entries.cc
+++ b/review/standin-3/entries.cc
@@ -42,9 +42,9 @@
                           << machine.link_mbps
                           << "\nmemory_mb: " << machine.memory_mb << R"(
 bounds:
-  greatest_lease: 6000ms
+  greatest_lease: 10000ms
   stop_time: 200ms
-  checkpoint_seconds: 1
+  checkpoint_seconds: 2
   restore_time: 250ms
   reclaim_time: 2700ms
   revoke_time: 5000ms
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -390,30 +390,35 @@
       : lab(folder, has_trouble, {.count = 8}) {}
 
  private:
+  // Two such tasks fit on a worker of 128 cores, so that the gang needs all
+  // eight.
+  static constexpr int kMillicores = 52'000;
+  static constexpr int kGang = 16;
+
   void Play() override {
     submitted_job holder;
     holder.id = callers::NewId(1);
-    holder.what = {90'000, false, 128'000, 1};
+    holder.what = {90'000, false, kMillicores, 1};
     Submit(holder);
     if (has_trouble_) {
       After(1s, [this] {
-        Record("a gang of 8 tasks with 128 cores each is handed in");
+        Record("a gang of 16 tasks with 52 cores each is handed in");
         submitted_job gang;
         gang.id = callers::NewId(2);
-        gang.tasks = 8;
-        gang.what = {10'000, false, 128'000, 8};
+        gang.tasks = kGang;
+        gang.what = {11'000, false, kMillicores, kGang};
         Submit(gang, {{"gang", true}});
       });
     }
     After(2s, [this] {
       submitted_job lasting;
       lasting.id = callers::NewId(3);
-      lasting.what = {1000, true, 4000, 1};
+      lasting.what = {1000, true, kMillicores, 1};
       Submit(lasting, {{"persistent", true}});
       for (int i = 0; i < 5; ++i) {
         submitted_job job;
         job.id = callers::NewId(10 + i);
-        job.what = {100'000, false, 4000, 1};
+        job.what = {100'000, false, kMillicores, 1};
         Submit(job);
       }
     });
