Keep a job in memory by what runs of it

Cause: every task of every occurrence had an object from the acceptance of its job until its rows were erased, with entries in an index of waiting units: some 28 MB for a job of 100,000 tasks, whether it was done, running or due in a year.

Change: a unit has an object from its first placement until it is done. What is still to come and what is over are sets of positions, which cost memory by their gaps (position_set); units that are done are ordered by step, then by occurrence, since those of one step end about in this order. Units that are not due are no longer looked at: a pass ends at the last occurrence whose time has come. Counts of done units follow from the set.

Why this suffices: the units with an object are those in progress, which the minions bound. It holds for jobs that were accepted before as well, since nothing in the rows has changed.

--- a/src/sched/unit_layout.cc
+++ b/src/sched/unit_layout.cc
@@ -39,12 +39,33 @@
 
 unit_place unit_layout::PlaceOf(std::size_t position) const {
   const std::size_t in_occurrence = position % UnitsPerOccurrence();
-  const auto next = std::upper_bound(first_of_step_.begin(),
-                                     first_of_step_.end(), in_occurrence);
-  const auto step = static_cast<std::size_t>(next - first_of_step_.begin()) - 1;
-  return {static_cast<int>(position / UnitsPerOccurrence()),
-          static_cast<int>(step),
-          static_cast<int>(in_occurrence - first_of_step_[step])};
+  const int step = StepAt(in_occurrence);
+  return {static_cast<int>(position / UnitsPerOccurrence()), step,
+          static_cast<int>(in_occurrence - FirstOf(0, step))};
+}
+
+std::size_t unit_layout::FirstRankOf(int step) const {
+  return FirstOf(0, step) * occurrences_;
+}
+
+std::size_t unit_layout::RankOf(const unit_place& place) const {
+  return FirstRankOf(place.step) +
+         static_cast<std::size_t>(place.occurrence) * UnitsOf(place.step) +
+         static_cast<std::size_t>(place.index);
+}
+
+unit_place unit_layout::PlaceOfRank(std::size_t rank) const {
+  const int step = StepAt(rank / occurrences_);
+  const std::size_t in_step = rank - FirstRankOf(step);
+  return {static_cast<int>(in_step / UnitsOf(step)), step,
+          static_cast<int>(in_step % UnitsOf(step))};
+}
+
+// Returns the step of the unit at `position` of an occurrence.
+int unit_layout::StepAt(std::size_t position) const {
+  const auto next =
+      std::upper_bound(first_of_step_.begin(), first_of_step_.end(), position);
+  return static_cast<int>(next - first_of_step_.begin()) - 1;
 }
 
 }  // namespace sassafras::sched
--- a/src/sched/unit_layout.h
+++ b/src/sched/unit_layout.h
@@ -16,8 +16,10 @@
   int index = 0;  ///< 0 for a gang.
 };
 
-/// Numbers the units of a job. Positions follow the order in which units are
-/// placed: by occurrence, then by step, then by index.
+/// Numbers the units of a job in two orders. Positions follow the order in
+/// which units are placed: by occurrence, then by step, then by index. Ranks
+/// are by step, then by occurrence, then by index: units of one step are alike,
+/// so that they end about in this order.
 class unit_layout {
  public:
   unit_layout() = default;
@@ -38,7 +40,16 @@
 
   unit_place PlaceOf(std::size_t position) const;
 
+  /// Rank of the unit at `place`, which must exist.
+  std::size_t RankOf(const unit_place& place) const;
+  std::size_t FirstRankOf(int step) const;
+  unit_place PlaceOfRank(std::size_t rank) const;
+
+  int Steps() const { return static_cast<int>(first_of_step_.size()) - 1; }
+
  private:
+  int StepAt(std::size_t position) const;
+
   std::size_t occurrences_ = 0;
   /// By step: number of units of the steps before it in one occurrence. The
   /// last element is the number of all.
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -62,7 +62,7 @@
       large_tasks_[ServiceOf(entry)].OnGang(job.queue, step.Reserved());
     }
   }
-  AddUnits(entry, now);
+  AddUnits(entry);
   if (record) {
     Restore(entry, *record);
     if (entry.IsEnded()) {
@@ -70,6 +70,7 @@
       LogEndedJobWithRuns(entry);
     }
     CloseNeedlessRuns(now, entry);
+    ForgetSettledUnits();
   } else {
     LogEvent("job_taken", job.id, "", "", "queue " + job.queue);
   }
@@ -80,7 +81,7 @@
 // owner did not know that they were over.
 void work_core::impl::LogEndedJobWithRuns(const job_entry& entry) {
   std::size_t runs = 0;
-  for (const work_unit& unit : entry.units) {
+  for (const auto& [position, unit] : entry.units) {
     runs += unit.members.size();
   }
   if (runs > 0) {
@@ -91,35 +92,25 @@
   }
 }
 
-void work_core::impl::AddUnits(job_entry& entry, instant now) {
+// All units of the job wait at first.
+void work_core::impl::AddUnits(job_entry& entry) {
   const job_spec& spec = entry.accepted.spec;
   entry.layout = unit_layout(spec);
-  entry.units.reserve(entry.layout.Size());
-  for (int occurrence = 0; occurrence < std::max(1, spec.occurrences);
-       ++occurrence) {
-    for (std::size_t position = 0; position < spec.steps.size(); ++position) {
-      const step_spec& step = spec.steps[position];
-      const int units = step.is_gang ? std::min(1, step.count) : step.count;
-      for (int index = 0; index < units; ++index) {
-        work_unit unit;
-        unit.occurrence = occurrence;
-        unit.step = static_cast<int>(position);
-        unit.index = index;
-        unit.width = step.is_gang ? step.count : 1;
-        unit.waiting_since = now;
-        entry.units.push_back(unit);
-      }
-    }
-  }
-  entry.CountOf(unit_phase::kWaiting) = static_cast<int>(entry.units.size());
-  entry.unfinished_units.resize(
-      static_cast<std::size_t>(std::max(1, spec.occurrences)) *
-      spec.steps.size());
-  for (work_unit& unit : entry.units) {
-    ++entry.UnfinishedUnitsOf(unit.occurrence, unit.step);
-    entry.task_count += unit.width;
-    EnterPhase(entry, unit);
+  entry.waiting_units = position_set::Below(entry.layout.Size());
+  entry.CountOf(unit_phase::kWaiting) = static_cast<int>(entry.layout.Size());
+  const int occurrences = std::max(1, spec.occurrences);
+  for (std::size_t step = 0; step < spec.steps.size(); ++step) {
+    entry.task_count += occurrences * spec.steps[step].count;
+    entry.waiting_units_of_step.at(step) =
+        occurrences *
+        static_cast<int>(entry.layout.UnitsOf(static_cast<int>(step)));
   }
+  AddToWaitingJobs(entry);
+}
+
+void work_core::impl::AddToWaitingJobs(job_entry& job) {
+  waiting_jobs_[{job.accepted.priority, job.accepted_version,
+                 job.accepted.id}] = &job;
 }
 
 std::set<unit_ref>* work_core::impl::UnitsIn(unit_phase phase) {
@@ -130,6 +121,8 @@
       return &recorded_units_;
     case unit_phase::kClosing:
       return &closing_units_;
+    case unit_phase::kDone:
+      return &settled_units_;
     default:
       return nullptr;
   }
@@ -149,10 +142,9 @@
     units->insert({&job, &unit});
   }
   if (unit.phase == unit_phase::kWaiting) {
-    job.waiting_units.insert(job.PositionOf(unit));
+    job.waiting_units.Insert(unit.position);
     ++job.waiting_units_of_step.at(static_cast<std::size_t>(unit.step));
-    waiting_jobs_[{job.accepted.priority, job.accepted_version,
-                   job.accepted.id}] = &job;
+    AddToWaitingJobs(job);
   }
   if (CountsAgainstGuarantee(job, unit)) {
     urgent_accelerators_[job.accepted.team] += AcceleratorsOf(job, unit);
@@ -164,7 +156,7 @@
     units->erase({&job, &unit});
   }
   if (unit.phase == unit_phase::kWaiting) {
-    job.waiting_units.erase(job.PositionOf(unit));
+    job.waiting_units.Erase(unit.position);
     --job.waiting_units_of_step.at(static_cast<std::size_t>(unit.step));
   }
   if (CountsAgainstGuarantee(job, unit)) {
@@ -180,6 +172,16 @@
                                         unit.phase == unit_phase::kActive);
 }
 
+// Releases the objects of units that are done.
+void work_core::impl::ForgetSettledUnits() {
+  const std::set<unit_ref> settled = std::exchange(settled_units_, {});
+  for (const unit_ref& ref : settled) {
+    unconfirmed_units_.erase(ref);
+    unresolved_units_.erase(ref);
+    ref.job->units.erase(ref.unit->position);
+  }
+}
+
 // The jobs stay in `jobs_` until their rows are erased.
 void work_core::impl::RemoveSettledFromOpenJobs(instant now) {
   if (now < next_job_cleanup_) {
@@ -203,7 +205,7 @@
       counters_.Add("sched_record_unit_unknown");
       continue;
     }
-    work_unit& unit = entry.units[*position];
+    work_unit& unit = entry.HoldUnit(*position);
     unit.run = recorded.run;
     unit.failed_runs = recorded.failed_runs;
     unit.has_run_failed = recorded.has_run_failed;
@@ -288,15 +290,9 @@
     return {};
   }
   const job_entry& job = it->second;
-  int waiting = 0;
-  int running = 0;
-  int done = 0;
   int crashes = 0;
   std::string minion_ids;
-  for (const work_unit& unit : job.units) {
-    waiting += unit.phase == unit_phase::kWaiting ? 1 : 0;
-    done += unit.is_done ? 1 : 0;
-    running += unit.phase == unit_phase::kActive ? 1 : 0;
+  for (const auto& [position, unit] : job.units) {
     crashes = std::max(crashes, MostCrashes(unit));
     for (const unit_member& member : unit.members) {
       if (member.phase != member_phase::kTerminated &&
@@ -307,9 +303,10 @@
   }
   const int held = CountHeldMinions(job);
   return "The job is " + std::string(GetName(job.state)) + ": " +
-         std::to_string(done) + " of " + std::to_string(job.units.size()) +
-         " units are done, " + std::to_string(running) + " run, " +
-         std::to_string(waiting) + " wait for room" +
+         std::to_string(job.done_units.Size()) + " of " +
+         std::to_string(job.layout.Size()) + " units are done, " +
+         std::to_string(job.CountOf(unit_phase::kActive)) + " run, " +
+         std::to_string(job.CountOf(unit_phase::kWaiting)) + " wait for room" +
          (minion_ids.empty() ? std::string()
                              : "; it holds room on" + minion_ids) +
          (held == 0 ? std::string()
@@ -330,8 +327,9 @@
     }
     const bool is_settled =
         job.IsEnded() && job.change == job.last_durable_change &&
-        std::all_of(job.units.begin(), job.units.end(),
-                    [](const work_unit& unit) { return unit.members.empty(); });
+        std::all_of(job.units.begin(), job.units.end(), [](const auto& item) {
+          return item.second.members.empty();
+        });
     if (is_settled && !job.is_erasing &&
         now - job.ended_at > options_.state_retention) {
       job.is_erasing = true;
@@ -354,6 +352,7 @@
     it->second.is_erasing = false;
     return;
   }
+  ForgetSettledUnits();
   waiting_jobs_.erase(
       {job.accepted.priority, job.accepted_version, job.accepted.id});
   open_jobs_.erase(id);
@@ -468,6 +467,7 @@
 }
 
 work_actions work_core::Decide(instant now, std::int64_t wall_unix_ms) {
+  impl_->ForgetSettledUnits();
   impl_->RemoveSettledFromOpenJobs(now);
   impl_->EndSucceededLives(now);
   impl_->PrepareDirtyMinions(now);
--- a/src/sched/work_evicting.cc
+++ b/src/sched/work_evicting.cc
@@ -196,10 +196,14 @@
   if (!step.is_persistent) {
     return true;
   }
-  int unavailable = 0;
-  for (const work_unit& other : job.units) {
-    if (&other == &unit || other.step != unit.step ||
-        other.occurrence != unit.occurrence) {
+  const std::size_t first = job.layout.FirstOf(unit.occurrence, unit.step);
+  const std::size_t count = job.layout.UnitsOf(unit.step);
+  // Units without an object do not run.
+  int unavailable = static_cast<int>(count - 1) * unit.width;
+  for (auto it = job.units.lower_bound(first);
+       it != job.units.end() && it->first < first + count; ++it) {
+    const work_unit& other = it->second;
+    if (&other == &unit) {
       continue;
     }
     const bool is_ready =
@@ -209,7 +213,7 @@
                       return member.phase == member_phase::kRunning &&
                              member.percent == kReadyPercent;
                     });
-    unavailable += is_ready ? 0 : other.width;
+    unavailable -= is_ready ? other.width : 0;
   }
   return unavailable + unit.width <= step.max_unavailable;
 }
--- a/src/sched/work_forecast.cc
+++ b/src/sched/work_forecast.cc
@@ -12,7 +12,7 @@
     std::map<std::string, queue_load>& loads) const {
   for (const auto& [rank, job] : waiting_jobs_) {
     const auto load = loads.find(job->accepted.queue);
-    if (load == loads.end() || job->IsEnded() || job->waiting_units.empty() ||
+    if (load == loads.end() || job->IsEnded() || job->waiting_units.IsEmpty() ||
         job->accepted.spec.occurrences > 0) {
       continue;
     }
--- a/src/sched/work_holds.cc
+++ b/src/sched/work_holds.cc
@@ -139,11 +139,15 @@
     return 0;
   }
   int count = 0;
-  for (const std::size_t position : job.waiting_units) {
-    const work_unit& unit = job.units[position];
-    count += unit.width > 1 ? holds->second.CountMinions(
-                                  {job.accepted.id, unit.occurrence, unit.step})
-                            : 0;
+  for (auto position = job.waiting_units.NextFrom(0); position;
+       position = job.waiting_units.NextFrom(*position + 1)) {
+    const unit_place place = job.layout.PlaceOf(*position);
+    const step_spec& step =
+        job.accepted.spec.steps.at(static_cast<std::size_t>(place.step));
+    count += step.is_gang && step.count > 1
+                 ? holds->second.CountMinions(
+                       {job.accepted.id, place.occurrence, place.step})
+                 : 0;
   }
   return count;
 }
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -61,6 +61,7 @@
               const std::optional<job_record>& record,
               std::uint64_t record_version);
   void CancelJob(instant now, const std::string& id, std::uint64_t version);
+  void ForgetSettledUnits();
   void RemoveSettledFromOpenJobs(instant now);
   std::map<std::string, int> WaitingByQueue() const;
   std::string Explain(const std::string& id) const;
@@ -144,7 +145,8 @@
   };
 
   // work_core.cc
-  void AddUnits(job_entry& entry, instant now);
+  void AddUnits(job_entry& entry);
+  void AddToWaitingJobs(job_entry& job);
   void LogEndedJobWithRuns(const job_entry& entry);
   void Restore(job_entry& entry, const job_record& record);
   void RestoreMembers(job_entry& entry,
@@ -316,9 +318,8 @@
   bool PlaceOrSkip(instant now,
                    const unit_ref& waiting,
                    std::vector<unit_ref>& unplaced);
-  static bool IsStepReady(std::int64_t wall_ms,
-                          const job_entry& job,
-                          const work_unit& unit);
+  static std::size_t EndOfDue(std::int64_t wall_ms, const job_entry& job);
+  static bool IsStepReady(const job_entry& job, const work_unit& unit);
   static std::size_t PositionAfterStep(const unit_ref& unit,
                                        std::size_t position);
   void CountSameStep(const job_entry& job,
@@ -408,6 +409,8 @@
   double TaskDemandOf(const job_entry& job, int index) const;
   double WaitingDemandOf(const job_entry& job) const;
   double WeightOf(const std::string& team) const;
+  static const work_unit& FirstWaiting(const job_entry& job,
+                                       work_unit& untouched);
   waiting_job ToWaitingJob(const job_entry& job) const;
   std::vector<job_entry*> WaitingJobs(instant now);
 
@@ -490,6 +493,7 @@
   std::set<unit_ref> closing_units_;
   std::set<unit_ref> unconfirmed_units_;  // With an unanswered start.
   std::set<unit_ref> unresolved_units_;   // With `unresolved` runs.
+  std::set<unit_ref> settled_units_;      // Done; they still have an object.
   // Jobs with waiting units, by priority, then by acceptance.
   std::map<std::tuple<int, std::uint64_t, std::string>, job_entry*>
       waiting_jobs_;
--- a/src/sched/work_ordering.cc
+++ b/src/sched/work_ordering.cc
@@ -49,8 +49,21 @@
   return static_cast<double>(std::max<std::int64_t>(GuaranteeOf(team), 1));
 }
 
+// Returns the first waiting unit; `untouched` takes one that has no object.
+const work_unit& work_core::impl::FirstWaiting(const job_entry& job,
+                                               work_unit& untouched) {
+  const std::size_t position = job.waiting_units.NextFrom(0).value();
+  const work_unit* unit = job.FindUnit(position);
+  if (unit == nullptr) {
+    untouched = job.MakeUnit(position);
+    unit = &untouched;
+  }
+  return *unit;
+}
+
 waiting_job work_core::impl::ToWaitingJob(const job_entry& job) const {
-  const work_unit& first = job.units.at(*job.waiting_units.begin());
+  work_unit untouched;
+  const work_unit& first = FirstWaiting(job, untouched);
   waiting_job waiting;
   waiting.priority = job.accepted.priority;
   waiting.is_guaranteed = IsWithinGuarantee(job, first);
@@ -67,7 +80,7 @@
 // those whose first waiting unit is within its team's guarantee come first.
 std::vector<job_entry*> work_core::impl::WaitingJobs(instant now) {
   std::erase_if(waiting_jobs_, [](const auto& item) {
-    return item.second->IsEnded() || item.second->waiting_units.empty();
+    return item.second->IsEnded() || item.second->waiting_units.IsEmpty();
   });
   std::vector<job_entry*> jobs;
   jobs.reserve(waiting_jobs_.size());
@@ -81,8 +94,8 @@
         [](const job_entry* job) { return job->accepted.priority != 0; });
     std::stable_partition(
         jobs.begin(), end_of_urgent, [this](const job_entry* job) {
-          return IsWithinGuarantee(*job,
-                                   job->units.at(*job->waiting_units.begin()));
+          work_unit untouched;
+          return IsWithinGuarantee(*job, FirstWaiting(*job, untouched));
         });
     return jobs;
   }
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -22,7 +22,7 @@
 // Counts the tasks that have their own entry in the job's record.
 int TasksInProgress(const job_entry& job) {
   int tasks = 0;
-  for (const work_unit& unit : job.units) {
+  for (const auto& [position, unit] : job.units) {
     const bool is_terminated = unit.is_done && unit.members.empty();
     tasks += unit.run > 0 && !is_terminated ? unit.width : 0;
   }
@@ -31,16 +31,9 @@
 
 }  // namespace
 
-// Returns whether the unit's step may start: its due time has passed and the
-// steps before it are done.
-bool work_core::impl::IsStepReady(std::int64_t wall_ms,
-                                  const job_entry& job,
-                                  const work_unit& unit) {
+// Returns whether the steps before that of the unit are done.
+bool work_core::impl::IsStepReady(const job_entry& job, const work_unit& unit) {
   const job_spec& spec = job.accepted.spec;
-  if (spec.occurrences > 0 &&
-      wall_ms < spec.first_due_unix_ms + unit.occurrence * spec.interval_ms) {
-    return false;
-  }
   const std::vector<int>& after = spec.steps.at(unit.step).after;
   const auto count = static_cast<int>(spec.steps.size());
   return std::all_of(after.begin(), after.end(), [&](int earlier) {
@@ -54,11 +47,11 @@
                                     const work_unit& unit,
                                     fleet_view& fleet) const {
   std::map<std::string, int> counts;
-  for (const work_unit& other : job.units) {
-    if (other.step != unit.step || other.occurrence != unit.occurrence) {
-      continue;
-    }
-    for (const unit_member& member : other.members) {
+  const std::size_t first = job.layout.FirstOf(unit.occurrence, unit.step);
+  const std::size_t end = first + job.layout.UnitsOf(unit.step);
+  for (auto it = job.units.lower_bound(first);
+       it != job.units.end() && it->first < end; ++it) {
+    for (const unit_member& member : it->second.members) {
       counts[member.incarnation.id] +=
           member.phase == member_phase::kTerminated ? 0 : 1;
     }
@@ -90,6 +83,11 @@
   }
   placement_not_before_ =
       unplaced.empty() ? now : now + kCrowdedPlacementInterval;
+  for (const unit_ref& ref : unplaced) {
+    if (ref.unit->run == 0) {
+      ref.job->units.erase(ref.unit->position);
+    }
+  }
 }
 
 // Places the job's waiting units. If a step is not ready or a unit of it cannot
@@ -100,35 +98,59 @@
                                    std::vector<unit_ref>& unplaced) {
   const bool is_wide_job = job.task_count > kMaxTasksInProgress;
   int tasks_in_progress = is_wide_job ? TasksInProgress(job) : 0;
-  auto it = job.waiting_units.begin();
-  while (it != job.waiting_units.end()) {
-    const std::size_t position = *it;
-    work_unit& unit = job.units[position];
-    const unit_ref waiting{&job, &unit};
+  const std::size_t end = EndOfDue(wall_ms, job);
+  auto position = job.waiting_units.NextFrom(0);
+  while (position && *position < end) {
+    work_unit untouched;
+    work_unit* known = job.FindUnit(*position);
+    if (known == nullptr) {
+      untouched = job.MakeUnit(*position);
+      known = &untouched;
+    }
+    const work_unit& unit = *known;
+    const unit_ref waiting{&job, known};
     const bool has_run_before = unit.run > 0;
+    const int width = unit.width;
     const bool is_deferred =
         now < unit.not_before ||
         (is_wide_job && !has_run_before && tasks_in_progress > 0 &&
-         tasks_in_progress + unit.width > kMaxTasksInProgress);
-    std::size_t next = position + 1;
-    if (!IsStepReady(wall_ms, job, unit) ||
+         tasks_in_progress + width > kMaxTasksInProgress);
+    std::size_t next = *position + 1;
+    if (!IsStepReady(job, unit) ||
         (!is_deferred && !PlaceOrSkip(now, waiting, unplaced))) {
       // A suspect that waits for isolation does not hold up the others.
-      next = unit.is_suspect ? next : PositionAfterStep(waiting, position);
+      next = unit.is_suspect ? next : PositionAfterStep(waiting, *position);
     } else if (!is_deferred && !has_run_before) {
-      tasks_in_progress += unit.width;
+      tasks_in_progress += width;
     }
-    it = job.waiting_units.lower_bound(next);
+    position = job.waiting_units.NextFrom(next);
   }
 }
 
+// Returns the position after the last unit whose due time has passed.
+std::size_t work_core::impl::EndOfDue(std::int64_t wall_ms,
+                                      const job_entry& job) {
+  const job_spec& spec = job.accepted.spec;
+  if (spec.occurrences == 0) {
+    return job.layout.Size();
+  }
+  const std::int64_t since_first = wall_ms - spec.first_due_unix_ms;
+  if (since_first < 0) {
+    return 0;
+  }
+  const std::int64_t due =
+      spec.interval_ms == 0
+          ? spec.occurrences
+          : std::min<std::int64_t>(since_first / spec.interval_ms + 1,
+                                   spec.occurrences);
+  return static_cast<std::size_t>(due) * job.layout.UnitsPerOccurrence();
+}
+
 // Returns the position after the last unit of the step and occurrence.
 std::size_t work_core::impl::PositionAfterStep(const unit_ref& unit,
                                                std::size_t position) {
-  const step_spec& step = unit.Step();
-  const int units = step.is_gang ? std::min(1, step.count) : step.count;
   return position - static_cast<std::size_t>(unit.unit->index) +
-         static_cast<std::size_t>(units);
+         unit.job->layout.UnitsOf(unit.unit->step);
 }
 
 bool work_core::impl::PlaceOrSkip(instant now,
@@ -138,11 +160,12 @@
       std::any_of(unplaced.begin(), unplaced.end(), [&](const unit_ref& other) {
         return IsAtLeastAsHardToPlace(now, waiting, other);
       });
-  if (!is_known_to_fail && TryPlace(now, *waiting.job, *waiting.unit)) {
-    return true;
-  }
   if (!is_known_to_fail) {
-    unplaced.push_back(waiting);
+    work_unit& unit = waiting.job->HoldUnit(waiting.unit->position);
+    if (TryPlace(now, *waiting.job, unit)) {
+      return true;
+    }
+    unplaced.push_back({waiting.job, &unit});
   }
   HoldRoomFor(now, waiting);
   return false;
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -25,8 +25,21 @@
   job_record record;
   record.state = job.state;
   std::size_t unresolved = 0;
-  for (const work_unit& unit : job.units) {
-    if (unit.run == 0 && !unit.is_done) {
+  for (auto rank = job.done_units.NextFrom(0); rank;
+       rank = job.done_units.NextFrom(*rank + 1)) {
+    const unit_place place = job.layout.PlaceOfRank(*rank);
+    const work_unit* unit = job.FindUnit(job.layout.Find(place).value());
+    if (unit == nullptr || unit->members.empty()) {
+      recorded_unit done;
+      done.occurrence = place.occurrence;
+      done.step = place.step;
+      done.index = place.index;
+      done.is_done = true;
+      record.units.push_back(std::move(done));
+    }
+  }
+  for (const auto& [position, unit] : job.units) {
+    if (unit.run == 0 || (unit.is_done && unit.members.empty())) {
       continue;
     }
     recorded_unit recorded{unit.occurrence,
--- a/src/sched/work_runs.cc
+++ b/src/sched/work_runs.cc
@@ -360,7 +360,7 @@
 // it ends, and when it is restored: its record names the members whose end the
 // former owner did not know of.
 void work_core::impl::CloseNeedlessRuns(instant now, job_entry& job) {
-  for (work_unit& unit : job.units) {
+  for (auto& [position, unit] : job.units) {
     if (const auto cause = CauseNotToRun(job, unit)) {
       CloseRun(now, job, unit, *cause);
     }
@@ -483,14 +483,14 @@
   UpdateState(now, job);
 }
 
-// Returns the unit that the task belongs to; null if the job has none.
+// Returns the unit that the task belongs to; null if it has no object.
 work_unit* work_core::impl::FindUnit(job_entry& job, const task_key& task) {
   const std::vector<step_spec>& steps = job.accepted.spec.steps;
   const auto step = static_cast<std::size_t>(task.step);
   const bool is_gang = step < steps.size() && steps[step].is_gang;
   const auto position =
       job.layout.Find({task.occurrence, task.step, is_gang ? 0 : task.index});
-  return position ? &job.units[*position] : nullptr;
+  return position ? job.FindUnit(*position) : nullptr;
 }
 
 // Counts a failed run of a unit once, also if several members of a gang are
@@ -529,16 +529,16 @@
   if (job.IsEnded()) {
     return;
   }
-  const auto has_started = [](const work_unit& unit) {
-    return unit.has_started;
+  const auto has_started = [](const auto& item) {
+    return item.second.has_started;
   };
-  if (std::all_of(job.unfinished_units.begin(), job.unfinished_units.end(),
-                  [](int unfinished_units) { return unfinished_units == 0; })) {
+  if (job.done_units.Size() == job.layout.Size()) {
     job.state = job_state::kComplete;
   } else if (job.is_cancelled) {
     job.state = job_state::kCancelled;
   } else if (job.state == job_state::kQueued &&
-             std::any_of(job.units.begin(), job.units.end(), has_started)) {
+             (!job.done_units.IsEmpty() ||
+              std::any_of(job.units.begin(), job.units.end(), has_started))) {
     job.state = job_state::kRunning;
   }
   if (job.state == before) {
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -18,6 +18,7 @@
 #include "sassafras/sched/minion_orders.h"
 #include "sassafras/sched/placement.h"
 #include "src/sched/minion_trust.h"
+#include "src/sched/position_set.h"
 #include "src/sched/room_holds.h"
 #include "src/sched/unit_layout.h"
 
@@ -106,6 +107,7 @@
 /// Tasks that are placed and run together: a whole gang, or one task of a step
 /// that is not a gang.
 struct work_unit {
+  std::size_t position = 0;  ///< In the job's layout.
   int occurrence = 0;
   int step = 0;
   int index = 0;  ///< 0 for a gang.
@@ -146,7 +148,9 @@
   return most;
 }
 
-/// A job with the state of its units.
+/// A job with the state of its units. A unit has an object of its own from its
+/// first placement until it is done, so that a job costs memory by what runs,
+/// not by what is still to come or already over.
 struct job_entry {
   accepted_job accepted;
   std::uint64_t accepted_version = 0;  ///< Order of acceptance.
@@ -154,12 +158,10 @@
   bool is_cancelled = false;
   job_state state = job_state::kQueued;
   unit_layout layout;
-  /// Ordered by occurrence, step and index. Fixed once the job is added, so
-  /// that pointers to units stay valid.
-  std::vector<work_unit> units;
-  std::set<std::size_t> waiting_units;  ///< Positions of units in kWaiting.
-  std::vector<int> unfinished_units;    ///< Count by occurrence and step.
-  int task_count = 0;                   ///< Tasks in all units.
+  std::map<std::size_t, work_unit> units;  ///< Those with an object.
+  position_set waiting_units;              ///< Positions of units in kWaiting.
+  position_set done_units;                 ///< Ranks of units that are done.
+  int task_count = 0;                      ///< Tasks in all units.
   /// Longest chain of estimated run times from each step to the end.
   std::vector<duration> chains;
   duration objective{0};                   ///< See ObjectiveOf().
@@ -193,28 +195,55 @@
     ++CountOf(phase);
   }
 
-  std::size_t PositionOf(const work_unit& unit) const {
-    return static_cast<std::size_t>(&unit - units.data());
+  /// Returns a unit of which nothing has run yet.
+  work_unit MakeUnit(std::size_t position) const {
+    const unit_place place = layout.PlaceOf(position);
+    const step_spec& step =
+        accepted.spec.steps.at(static_cast<std::size_t>(place.step));
+    work_unit unit;
+    unit.position = position;
+    unit.occurrence = place.occurrence;
+    unit.step = place.step;
+    unit.index = place.index;
+    unit.width = step.is_gang ? step.count : 1;
+    unit.waiting_since = first_seen_at;
+    return unit;
   }
 
-  /// Number of units of one step of one occurrence that are not done.
-  int& UnfinishedUnitsOf(int occurrence, int step) {
-    return unfinished_units.at(IndexOfStep(occurrence, step));
+  /// Returns the unit with an object; null if it has none.
+  work_unit* FindUnit(std::size_t position) {
+    const auto it = units.find(position);
+    return it == units.end() ? nullptr : &it->second;
+  }
+  const work_unit* FindUnit(std::size_t position) const {
+    const auto it = units.find(position);
+    return it == units.end() ? nullptr : &it->second;
+  }
+
+  /// Returns the unit, which must not be done, with an object of its own.
+  work_unit& HoldUnit(std::size_t position) {
+    work_unit* known = FindUnit(position);
+    return known != nullptr
+               ? *known
+               : units.emplace(position, MakeUnit(position)).first->second;
   }
-  int UnfinishedUnitsOf(int occurrence, int step) const {
-    return unfinished_units.at(IndexOfStep(occurrence, step));
+
+  std::size_t RankOf(const work_unit& unit) const {
+    return layout.RankOf({unit.occurrence, unit.step, unit.index});
   }
-  std::size_t IndexOfStep(int occurrence, int step) const {
-    return static_cast<std::size_t>(occurrence) * accepted.spec.steps.size() +
-           static_cast<std::size_t>(step);
+
+  /// Number of units of one step of one occurrence that are not done.
+  std::size_t UnfinishedUnitsOf(int occurrence, int step) const {
+    const std::size_t units_of_step = layout.UnitsOf(step);
+    const std::size_t first = layout.RankOf({occurrence, step, 0});
+    return units_of_step -
+           done_units.CountBetween(first, first + units_of_step);
   }
 
   /// Marks a unit as done; no effect if it already is.
   void SetDone(work_unit& unit) {
-    if (!unit.is_done) {
-      unit.is_done = true;
-      --UnfinishedUnitsOf(unit.occurrence, unit.step);
-    }
+    unit.is_done = true;
+    done_units.Insert(RankOf(unit));
   }
 
   /// Whether some unit has reserved capacity.
@@ -247,9 +276,9 @@
   }
 
   bool operator<(const unit_ref& other) const {
-    return std::tie(job->accepted_version, job->accepted.id, unit) <
+    return std::tie(job->accepted_version, job->accepted.id, unit->position) <
            std::tie(other.job->accepted_version, other.job->accepted.id,
-                    other.unit);
+                    other.unit->position);
   }
 };
 
--- a/src/sched/work_summary.cc
+++ b/src/sched/work_summary.cc
@@ -22,7 +22,7 @@
     summary.closing += job->CountOf(unit_phase::kClosing);
     team_usage& use = summary.teams[job->accepted.team];
     std::int64_t& held = job->accepted.priority == 0 ? use.urgent : use.other;
-    for (const work_unit& unit : job->units) {
+    for (const auto& [position, unit] : job->units) {
       held += unit.members.empty() ? 0 : AcceleratorsOf(*job, unit);
     }
   }
--- a/tests/large_job_test.cc
+++ b/tests/large_job_test.cc
@@ -1,16 +1,46 @@
+#include <malloc.h>
+
+#include <atomic>
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <cstddef>
+#include <cstdlib>
 #include <ctime>
 #include <memory>
+#include <new>
 #include <string>
 #include <tuple>
 #include <utility>
 
 #include "sassafras/sched/job_codec.h"
 #include "sassafras/sched/work_core.h"
-#include "tests/fake_minion.h"
+#include "tests/fleet_checks.h"
 #include "tests/owner_world.h"
 
+namespace {
+
+std::atomic<std::ptrdiff_t> bytes_in_use = 0;
+
+}  // namespace
+
+void* operator new(std::size_t size) {
+  void* block = std::malloc(size);
+  if (block == nullptr) {
+    throw std::bad_alloc();
+  }
+  bytes_in_use += static_cast<std::ptrdiff_t>(malloc_usable_size(block));
+  return block;
+}
+
+void operator delete(void* block) noexcept {
+  bytes_in_use -= static_cast<std::ptrdiff_t>(malloc_usable_size(block));
+  std::free(block);
+}
+
+void operator delete(void* block, std::size_t /*size*/) noexcept {
+  operator delete(block);
+}
+
 namespace sassafras::sched {
 namespace {
 
@@ -20,6 +50,8 @@
 // The term of the owner's lease without the margin in which it is renewed. Who
 // needs longer to load loses the ownership.
 constexpr duration kLoadTime = 600ms;
+// Half of the memory of the smallest machine, for a thousand jobs.
+constexpr std::ptrdiff_t kBytesPerJob = (80 << 20) / 1000;
 
 // Processor time that `action` takes, whatever else runs on the machine.
 template <class Action>
@@ -94,6 +126,65 @@
         std::string::npos);
 }
 
+// Guards against processes that exceed their memory one after the other, since
+// each is handed the schedules that the one before could not hold.
+TEST_CASE("A job costs memory by what runs of it") {
+  counter_table counters;
+  const std::ptrdiff_t before = bytes_in_use;
+
+  SECTION("and little if all of it is still to come") {
+    work_core core({}, 1, instant(1h), counters);
+    constexpr int kJobs = 12;
+    for (int number = 0; number < kJobs; ++number) {
+      accepted_job job = Schedule(10'000, 10);
+      job.id = std::to_string(number);
+      job.spec.first_due_unix_ms = 1'000'000'000'000;
+      core.OnJob(instant(1h), job, 1, std::nullopt, 0);
+    }
+    core.Decide(instant(1h), 0);
+    CHECK(bytes_in_use - before < kJobs * kBytesPerJob);
+  }
+  SECTION("and little if most of it is done") {
+    work_core core({}, 1, instant(1h), counters);
+    const accepted_job job = Schedule(10'000, 10);
+    core.OnJob(instant(1h), job, 1, HalfDone(9'000, 10), 1);
+    CHECK(bytes_in_use - before < kBytesPerJob);
+  }
+  SECTION("however often it has run") {
+    fake_fleet fleet({});
+    accepted_job job = Schedule(3'000, 1);
+    fleet.Submit(job);
+    fleet.Run(5s);
+    CHECK(fleet.core->Explain("schedule").find("3000 of 3000 units are done") !=
+          std::string::npos);
+    CheckNoViolations(fleet);
+    const std::ptrdiff_t with_core = bytes_in_use;
+    fleet.core.reset();
+    CHECK(with_core - bytes_in_use < kBytesPerJob);
+  }
+}
+
+// Guards against decisions that search all that a job has yet to do.
+TEST_CASE("A schedule costs a decision by what is due of it") {
+  counter_table counters;
+  work_core core({}, 1, instant(1h), counters);
+  for (int number = 0; number < 100; ++number) {
+    accepted_job job = Schedule(10'000, 10);
+    job.id = std::to_string(number);
+    job.spec.first_due_unix_ms = 1'000'000'000'000;
+    core.OnJob(instant(1h), job, 1, std::nullopt, 0);
+  }
+  core.OnMinions(instant(1h), {});
+  constexpr int kDecisions = 100;
+  const duration time = ProcessorTimeOf([&] {
+    for (int decision = 0; decision < kDecisions; ++decision) {
+      core.Decide(instant(1h) + decision * 100ms, 0);
+    }
+  });
+  // A decision that takes longer holds up the next one.
+  CHECK(time / kDecisions < 50ms);
+}
+
 // Guards against an owner that does nothing but load for longer than its lease
 // lasts.
 TEST_CASE("The lease is renewed while many jobs are loaded") {
