Record what is done of a job in ranges over its occurrences

Cause: the record of a job is one row, and it named the units that are done in one range for each occurrence and step, 14 bytes each. The row grew with what was done until the store refused it (413); the owner sent the same commit again and again.

Change: a range reaches over occurrences, so that a step which is done up to some occurrence takes one. The number of ranges follows from the steps and the tasks in progress. A record is read into ranges as well: loading a half-done job makes no object for what is done, and takes two bits a unit and time by their number, whatever their order.

Rows of earlier builds are read as before. Ranges within one occurrence, which are all of a job that runs once, are written in the form of earlier builds; these refuse a record with a longer one as malformed, with a line in the log, and do not take its tasks for new.

Why this suffices: units of one step are placed in order, so that what is done has a gap for each unit in progress at most.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -1,6 +1,7 @@
 #ifndef SASSAFRAS_SCHED_JOB_CODEC_H_
 #define SASSAFRAS_SCHED_JOB_CODEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -97,15 +98,30 @@
   std::vector<recorded_member> unresolved;
 };
 
-/// State of one job that the next owner needs. A unit that is done and has no
-/// `members` is stored only as done; its other fields are not kept.
+/// Units of one step that are done and have no members: those from one to
+/// another, both included, by occurrence, then by index.
+struct done_units {
+  int step = 0;
+  int first_occurrence = 0;
+  int first_index = 0;
+  int last_occurrence = 0;
+  int last_index = 0;
+};
+
+/// State of one job that the next owner needs. Its size follows from the number
+/// of units in progress: the units of a step end about in order, so that those
+/// which are done form few ranges, however many they are.
 struct job_record {
   job_state state = job_state::kQueued;
-  std::vector<recorded_unit> units;  ///< Units that ran at least once.
+  std::vector<done_units> done;
+  std::vector<recorded_unit> units;  ///< Others that ran at least once.
 };
 
+/// Greatest number of bytes of a record: of a row of the store.
+inline constexpr std::size_t kMaxRecordBytes = 65'536;
+
 /// Limit of tasks of one job that have started and are not done. The record of
-/// each takes up to 120 bytes, and a row of the store holds at most 64 KB.
+/// each takes up to 120 bytes.
 inline constexpr int kMaxTasksInProgress = 480;
 
 /// Limit of `unresolved` members in one record; further ones are not recorded.
@@ -117,7 +133,8 @@
 /// Decodes what EncodeWaitingCounts() returns; kMalformed if it cannot.
 result<std::map<std::string, int>> DecodeWaitingCounts(const std::string& text);
 
-/// Encodes a record as JSON; done units without members become index ranges.
+/// Encodes a record as JSON. Ranges within one occurrence can be read by builds
+/// that know no others; these refuse a record with a longer range.
 std::string EncodeRecord(const job_record& record);
 
 /// Decodes a record; kMalformed if it is not JSON, a field is missing or has
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -147,25 +147,31 @@
   return unit;
 }
 
-// Consecutive units of one step that are done and have no members; nothing else
-// of them is stored.
-struct done_range {
-  int occurrence = 0;
-  int step = 0;
-  int first = 0;
-  int last = 0;
-};
+json ToJson(const done_units& done) {
+  if (done.first_occurrence == done.last_occurrence) {
+    return json::array(
+        {done.first_occurrence, done.step, done.first_index, done.last_index});
+  }
+  return json::array({done.step,
+                      json::array({done.first_occurrence, done.first_index}),
+                      json::array({done.last_occurrence, done.last_index})});
+}
 
-void AddDone(std::vector<done_range>& ranges, const recorded_unit& unit) {
-  if (!ranges.empty()) {
-    done_range& range = ranges.back();
-    if (range.occurrence == unit.occurrence && range.step == unit.step &&
-        range.last + 1 == unit.index) {
-      range.last = unit.index;
-      return;
-    }
+done_units ToDone(const json& range) {
+  done_units done;
+  if (range.at(1).is_array()) {
+    done.step = range.at(0);
+    done.first_occurrence = range.at(1).at(0);
+    done.first_index = range.at(1).at(1);
+    done.last_occurrence = range.at(2).at(0);
+    done.last_index = range.at(2).at(1);
+    return done;
   }
-  ranges.push_back({unit.occurrence, unit.step, unit.index, unit.index});
+  done.first_occurrence = done.last_occurrence = range.at(0);
+  done.step = range.at(1);
+  done.first_index = range.at(2);
+  done.last_index = range.at(3);
+  return done;
 }
 
 }  // namespace
@@ -296,19 +302,13 @@
 }
 
 std::string EncodeRecord(const job_record& record) {
+  json ranges = json::array();
+  for (const done_units& done : record.done) {
+    ranges.push_back(ToJson(done));
+  }
   json units = json::array();
-  std::vector<done_range> done;
   for (const recorded_unit& unit : record.units) {
-    if (unit.is_done && unit.members.empty()) {
-      AddDone(done, unit);
-    } else {
-      units.push_back(ToJson(unit));
-    }
-  }
-  json ranges = json::array();
-  for (const done_range& range : done) {
-    ranges.push_back(
-        json::array({range.occurrence, range.step, range.first, range.last}));
+    units.push_back(ToJson(unit));
   }
   return json{{"format", kRowFormat},
               {"state", static_cast<int>(record.state)},
@@ -327,15 +327,7 @@
     }
     record.state = static_cast<job_state>(state);
     for (const json& range : document.value("done", json::array())) {
-      const int last = range.at(3);
-      for (int index = range.at(2); index <= last; ++index) {
-        recorded_unit unit;
-        unit.occurrence = range.at(0);
-        unit.step = range.at(1);
-        unit.index = index;
-        unit.is_done = true;
-        record.units.push_back(std::move(unit));
-      }
+      record.done.push_back(ToDone(range));
     }
     for (const json& unit : document.at("units")) {
       record.units.push_back(ToUnit(unit));
--- a/src/sched/position_set.cc
+++ b/src/sched/position_set.cc
@@ -13,6 +13,16 @@
   return all;
 }
 
+position_set position_set::Of(const std::vector<bool>& elements) {
+  position_set positions;
+  for (std::size_t position = 0; position < elements.size(); ++position) {
+    if (elements[position]) {
+      positions.Insert(position);
+    }
+  }
+  return positions;
+}
+
 std::size_t position_set::IndexFrom(std::size_t position) const {
   const auto it =
       std::lower_bound(ranges_.begin(), ranges_.end(), position,
--- a/src/sched/position_set.h
+++ b/src/sched/position_set.h
@@ -25,6 +25,9 @@
   /// All positions below `size`.
   static position_set Below(std::size_t size);
 
+  /// The positions at which `elements` is true.
+  static position_set Of(const std::vector<bool>& elements);
+
   bool IsEmpty() const { return ranges_.empty(); }
   std::size_t Size() const { return size_; }
   bool Contains(std::size_t position) const;
--- a/src/sched/work_core.cc
+++ b/src/sched/work_core.cc
@@ -198,10 +198,11 @@
 void work_core::impl::Restore(job_entry& entry, const job_record& record) {
   entry.state = record.state;
   entry.is_cancelled = record.state == job_state::kCancelled;
+  RestoreDone(entry, record.done);
   for (const recorded_unit& recorded : record.units) {
     const auto position =
         entry.layout.Find({recorded.occurrence, recorded.step, recorded.index});
-    if (!position) {
+    if (!position || !entry.waiting_units.Contains(*position)) {
       counters_.Add("sched_record_unit_unknown");
       continue;
     }
@@ -227,6 +228,38 @@
   }
 }
 
+// Marks units of the job, all of which wait, as done. Takes time by their
+// number, whatever their order.
+void work_core::impl::RestoreDone(job_entry& entry,
+                                  const std::vector<done_units>& recorded) {
+  const unit_layout& layout = entry.layout;
+  std::vector<bool> is_done(layout.Size());           // By rank.
+  std::vector<bool> is_waiting(layout.Size(), true);  // By position.
+  for (const done_units& done : recorded) {
+    const unit_place first{done.first_occurrence, done.step, done.first_index};
+    const unit_place last{done.last_occurrence, done.step, done.last_index};
+    if (!layout.Find(first) || !layout.Find(last)) {
+      counters_.Add("sched_record_unit_unknown");
+      continue;
+    }
+    for (std::size_t rank = layout.RankOf(first); rank <= layout.RankOf(last);
+         ++rank) {
+      is_done[rank] = true;
+      is_waiting[layout.Find(layout.PlaceOfRank(rank)).value()] = false;
+    }
+  }
+  entry.done_units = position_set::Of(is_done);
+  entry.waiting_units = position_set::Of(is_waiting);
+  const auto count = static_cast<int>(entry.done_units.Size());
+  entry.CountOf(unit_phase::kDone) = count;
+  entry.CountOf(unit_phase::kWaiting) -= count;
+  for (int step = 0; step < layout.Steps(); ++step) {
+    entry.waiting_units_of_step.at(static_cast<std::size_t>(step)) -=
+        static_cast<int>(entry.done_units.CountBetween(
+            layout.FirstRankOf(step), layout.FirstRankOf(step + 1)));
+  }
+}
+
 void work_core::impl::RestoreMembers(job_entry& entry,
                                      work_unit& unit,
                                      const recorded_unit& recorded) {
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -149,6 +149,7 @@
   void AddToWaitingJobs(job_entry& job);
   void LogEndedJobWithRuns(const job_entry& entry);
   void Restore(job_entry& entry, const job_record& record);
+  void RestoreDone(job_entry& entry, const std::vector<done_units>& recorded);
   void RestoreMembers(job_entry& entry,
                       work_unit& unit,
                       const recorded_unit& recorded);
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -21,27 +21,31 @@
   return {index, minion.id, minion.incarnation_unix_ms, minion.address};
 }
 
+// Adds the units of `range`, which are ranks, step by step.
+void AddDone(const unit_layout& layout,
+             const position_range& range,
+             std::vector<done_units>& done) {
+  for (std::size_t rank = range.first; rank <= range.last;) {
+    const unit_place first = layout.PlaceOfRank(rank);
+    const std::size_t end = std::min<std::size_t>(
+        std::size_t{range.last} + 1, layout.FirstRankOf(first.step + 1));
+    const unit_place last = layout.PlaceOfRank(end - 1);
+    done.push_back({first.step, first.occurrence, first.index, last.occurrence,
+                    last.index});
+    rank = end;
+  }
+}
+
 job_record RecordOf(const job_entry& job) {
   job_record record;
   record.state = job.state;
+  position_set done = job.done_units;
   std::size_t unresolved = 0;
-  for (auto rank = job.done_units.NextFrom(0); rank;
-       rank = job.done_units.NextFrom(*rank + 1)) {
-    const unit_place place = job.layout.PlaceOfRank(*rank);
-    const work_unit* unit = job.FindUnit(job.layout.Find(place).value());
-    if (unit == nullptr || unit->members.empty()) {
-      recorded_unit done;
-      done.occurrence = place.occurrence;
-      done.step = place.step;
-      done.index = place.index;
-      done.is_done = true;
-      record.units.push_back(std::move(done));
-    }
-  }
   for (const auto& [position, unit] : job.units) {
     if (unit.run == 0 || (unit.is_done && unit.members.empty())) {
       continue;
     }
+    done.Erase(job.RankOf(unit));
     recorded_unit recorded{unit.occurrence,
                            unit.step,
                            unit.index,
@@ -66,6 +70,9 @@
     }
     record.units.push_back(std::move(recorded));
   }
+  for (const position_range& range : done.Ranges()) {
+    AddDone(job.layout, range, record.done);
+  }
   return record;
 }
 
--- a/tests/fake_table.h
+++ b/tests/fake_table.h
@@ -21,6 +21,10 @@
     if (is_down) {
       return {answer_state::kNotDone, error_kind::kStoreUnavailable, {}};
     }
+    if (IsTooLarge(transaction)) {
+      ++refusals;
+      return {answer_state::kNotDone, error_kind::kTooLarge, {}};
+    }
     std::vector<table_row> conflicts;
     for (const table_write& write : transaction) {
       if (Read(write.key).version != write.expected_version) {
@@ -101,11 +105,25 @@
 
   bool is_down = false;       ///< Calls fail without effect.
   bool loses_answer = false;  ///< Commits take effect, but answer kUnknown.
-  int commits = 0;            ///< Number of transactions that took effect.
-  int scans = 0;              ///< Number of scans through Port().
+  std::size_t max_row_bytes = 65'536;           ///< Of a value.
+  std::size_t max_transaction_bytes = 750'000;  ///< Of all values together.
+  int refusals = 0;  ///< Number of transactions that were too large.
+  int commits = 0;   ///< Number of transactions that took effect.
+  int scans = 0;     ///< Number of scans through Port().
   std::map<std::string, table_row> rows;  ///< By key.
 
  private:
+  bool IsTooLarge(const table_transaction& transaction) const {
+    std::size_t bytes = 0;
+    for (const table_write& write : transaction) {
+      if (write.value.size() > max_row_bytes) {
+        return true;
+      }
+      bytes += write.value.size();
+    }
+    return bytes > max_transaction_bytes;
+  }
+
   std::uint64_t revision_ = 0;
 };
 
--- a/tests/job_record_test.cc
+++ b/tests/job_record_test.cc
@@ -6,9 +6,6 @@
 namespace sassafras::sched {
 namespace {
 
-// Rows of the store hold at most this number of bytes.
-constexpr std::size_t kMaxRowBytes = 65'536;
-
 TEST_CASE("A tombstone tells a refused submission from a cancelled job") {
   for (const job_row_kind kind :
        {job_row_kind::kRefused, job_row_kind::kCancelled}) {
@@ -48,6 +45,25 @@
     CHECK(restored.unresolved[0].minion == "i-0");
     CHECK(restored.unresolved[0].address == "10.0.0.2:80");
   }
+  SECTION("and what is done, over occurrences and indexes") {
+    record.done = {{2, 0, 1, 5, 3}, {3, 7, 2, 7, 9}};
+    const std::string row = EncodeRecord(record);
+    const auto decoded = DecodeRecord(row);
+    REQUIRE(decoded);
+    REQUIRE(decoded.value().done.size() == 2);
+    for (std::size_t i = 0; i < 2; ++i) {
+      const done_units& restored = decoded.value().done[i];
+      CHECK(restored.step == record.done[i].step);
+      CHECK(restored.first_occurrence == record.done[i].first_occurrence);
+      CHECK(restored.first_index == record.done[i].first_index);
+      CHECK(restored.last_occurrence == record.done[i].last_occurrence);
+      CHECK(restored.last_index == record.done[i].last_index);
+    }
+
+    SECTION("in the form of earlier builds within one occurrence") {
+      CHECK(row.find("[7,3,2,9]") != std::string::npos);
+    }
+  }
   SECTION("and rows of earlier builds have no addresses") {
     const auto decoded =
         DecodeRecord(R"({"format":1,"state":1,"done":[],)"
@@ -68,7 +84,7 @@
       }
       record.units.push_back(wide);
     }
-    CHECK(EncodeRecord(record).size() <= kMaxRowBytes);
+    CHECK(EncodeRecord(record).size() <= kMaxRecordBytes);
   }
 }
 
--- a/tests/large_job_test.cc
+++ b/tests/large_job_test.cc
@@ -68,21 +68,23 @@
   return job;
 }
 
-// A record of the job in which the tasks of the first occurrences are done.
-job_record HalfDone(int occurrences, int tasks) {
-  job_record record;
-  record.state = job_state::kRunning;
+// The row of a record in which the tasks of the first occurrences are done, as
+// builds wrote it that knew only ranges within one occurrence.
+std::string HalfDoneRow(int occurrences, int tasks) {
+  std::string ranges;
   for (int occurrence = 0; occurrence < occurrences; ++occurrence) {
-    for (int index = 0; index < tasks; ++index) {
-      recorded_unit unit;
-      unit.occurrence = occurrence;
-      unit.index = index;
-      unit.run = 1;
-      unit.is_done = true;
-      record.units.push_back(unit);
-    }
+    ranges += (ranges.empty() ? "[" : ",[") + std::to_string(occurrence) +
+              ",0,0," + std::to_string(tasks - 1) + "]";
   }
-  return record;
+  return R"({"format":1,"state":1,"done":[)" + ranges + R"(],"units":[]})";
+}
+
+job_record HalfDone(int occurrences, int tasks) {
+  return DecodeRecord(HalfDoneRow(occurrences, tasks)).value();
+}
+
+std::size_t RecordBytes(const fake_fleet& fleet, const std::string& job) {
+  return fleet.table.Read(kRecordTable + job).value.size();
 }
 
 }  // namespace
@@ -91,7 +93,7 @@
 // needs longer to load a half-done job than its lease lasts.
 TEST_CASE("A half-done job of 100,000 tasks is loaded within a lease") {
   const accepted_job job = Schedule(10, 10'000);
-  const std::string row = EncodeRecord(HalfDone(6, 10'000));
+  const std::string row = HalfDoneRow(6, 10'000);
   counter_table counters;
   work_core core({}, 1, instant(1h), counters);
   const duration time = ProcessorTimeOf(
@@ -185,6 +187,49 @@
   CHECK(time / kDecisions < 50ms);
 }
 
+// Guards against a job whose record grows with what is done, until no row of
+// the store holds it and nothing more is recorded.
+TEST_CASE("A record does not grow with what is done") {
+  fake_fleet fleet({});
+
+  SECTION("of a long schedule") {
+    fleet.Submit(Schedule(6'000, 1));
+    CHECK(fleet.RunUntilEnded(30s));
+    CHECK(RecordBytes(fleet, "schedule") < 1'000);
+  }
+  SECTION("if a step of each occurrence can't run yet") {
+    accepted_job job = Schedule(4'000, 1);
+    job.spec.steps.push_back(job.spec.steps[0]);
+    job.spec.steps[1].after = {0};
+    job.spec.steps[1].needs = {1'000'000, 1, 1};  // Fits on no minion.
+    fleet.Submit(job);
+    fleet.Run(10s);
+    CHECK(fleet.core->Explain("schedule").find("4000 of 8000 units are done") !=
+          std::string::npos);
+    CHECK(RecordBytes(fleet, "schedule") < 1'000);
+
+    SECTION("and the next owner knows what is done") {
+      fleet.ReplaceOwner();
+      fleet.Run(1s);
+      CHECK(fleet.core->Explain("schedule")
+                .find("4000 of 8000 units are done, 0 run, 4000 wait") !=
+            std::string::npos);
+      CHECK(fleet.starts["schedule"] == 4'000);
+    }
+  }
+  SECTION("of a schedule that changes hands again and again") {
+    fleet.Submit(Schedule(3'000, 2));
+    for (int owner = 0; owner < 8; ++owner) {
+      fleet.Run(500ms);
+      fleet.ReplaceOwner();
+    }
+    CHECK(fleet.RunUntilEnded(30s));
+    CHECK(fleet.starts["schedule"] == 6'000);
+  }
+  CHECK(fleet.table.refusals == 0);
+  CheckNoViolations(fleet);
+}
+
 // Guards against an owner that does nothing but load for longer than its lease
 // lasts.
 TEST_CASE("The lease is renewed while many jobs are loaded") {
