Keep a record that the store refuses from holding up the others

Cause: a refusal for good was taken for a store that is away. All records of a commit shared its fate, and nothing bounded the bytes of a record or of a commit.

Change: the table port tells a transaction that the store will never accept (400, 413) from one that failed. After such an answer fewer records are sent at a time until the refused one is alone; that one is not sent again before it has changed. A record over 64 KB is not sent at all. In both cases what was placed of the job and not started is taken back, and half as many of its tasks may be in progress; a unit that is too large alone, such as a gang of 3,000 tasks, ends its job as failed, with the reason in its log. A commit holds 600 kB of records at most, below the 1 MB of a call.

Counters sched_records_too_large, sched_records_refused, sched_closed_record_too_large; event record_too_large.

Why this suffices: the records of a commit are independent, so that those which the store accepts get through within five commits; and nothing is repeated that has not changed.

--- a/include/sassafras/net/table_port.h
+++ b/include/sassafras/net/table_port.h
@@ -38,7 +38,9 @@
 
 /// Answer to a transaction. kDone: `rows` hold the new versions, with empty
 /// values. kNotDone with kConflict: `rows` are the current rows whose versions
-/// differ. The reason of other failures is kStoreUnavailable or kStoreUnknown.
+/// differ. kTooLarge and kMalformed: the store will never accept the
+/// transaction. The reason of other failures is kStoreUnavailable or
+/// kStoreUnknown.
 struct commit_answer {
   answer_state state = answer_state::kUnknown;
   error_kind reason = error_kind::kStoreUnknown;  ///< Ignored if kDone.
--- a/src/sched/close_cause.h
+++ b/src/sched/close_cause.h
@@ -28,6 +28,7 @@
   kUnanswered,      ///< Its starts were not answered.
   kRefused,         ///< A minion refused its start.
   kMinionUnusable,  ///< A chosen minion became unusable.
+  kRecordTooLarge,  ///< It was not started: the record has no room for it.
 };
 
 struct close_cause_info {
@@ -35,7 +36,7 @@
   std::string_view description;  ///< In logs.
 };
 
-inline constexpr std::array<close_cause_info, 17> kCloseCauses = {{
+inline constexpr std::array<close_cause_info, 18> kCloseCauses = {{
     {"done", "done"},
     {"done_earlier", "an earlier run was done"},
     {"failed", "failed"},
@@ -53,6 +54,7 @@
     {"unanswered", "its starts were not answered"},
     {"refused", "its start was refused"},
     {"unfit", "a chosen minion became unusable"},
+    {"record_too_large", "its job's record has no room for it"},
 }};
 
 inline const close_cause_info& GetInfo(close_cause cause) {
--- a/src/sched/work_forecast.cc
+++ b/src/sched/work_forecast.cc
@@ -91,6 +91,7 @@
   switch (cause) {
     case close_cause::kClaimExpired:
     case close_cause::kMinionUnusable:
+    case close_cause::kRecordTooLarge:
     case close_cause::kRefused:
     case close_cause::kUnanswered:
       share = 1;
--- a/src/sched/work_impl.h
+++ b/src/sched/work_impl.h
@@ -33,6 +33,8 @@
 
 /// Interval at which a stop is sent until it is acknowledged.
 inline constexpr duration kStopResendInterval = std::chrono::milliseconds(150);
+/// Records in one transaction. The platform accepts 100 entries and 1 MB.
+inline constexpr std::size_t kMaxRecordsPerCommit = 30;
 /// Time after which a run that is still being stopped is logged. Stops take
 /// less than a second.
 inline constexpr duration kOverdueStopTime = std::chrono::seconds(2);
@@ -130,6 +132,11 @@
   // work_records.cc
   void EmitCommit(instant now);
   void HandleCommitAnswer(instant now, const commit_answer& answer);
+  std::vector<job_entry*> JobsToRecord(instant now);
+  std::optional<std::string> EncodeFittingRecord(instant now, job_entry& job);
+  void LowerRecord(instant now, job_entry& job, std::string_view reason);
+  void WithdrawPlacement(instant now, job_entry& job, work_unit& unit);
+  void HandleRefusedRecords(instant now);
 
   work_actions TakeActions() { return std::exchange(actions_, {}); }
   void SetConfig(service_config_ptr config);
@@ -530,6 +537,9 @@
   instant next_commit_;
   duration commit_backoff_{0};
   std::vector<sent_record> sent_records_;
+  // Records per commit: fewer after the store has refused one for good, until
+  // it is known which of them it refuses.
+  std::size_t max_records_per_commit_ = kMaxRecordsPerCommit;
   // Accelerators held by each team's urgent units that are not closing.
   std::map<std::string, std::int64_t> urgent_accelerators_;
   std::map<step_key, step_advice> advice_;
--- a/src/sched/work_placing.cc
+++ b/src/sched/work_placing.cc
@@ -19,16 +19,6 @@
 // Such a task must run again within seconds, and has no attempts to lose.
 constexpr duration kAvoidedMinionDelay = std::chrono::seconds(2);
 
-// Counts the tasks that have their own entry in the job's record.
-int TasksInProgress(const job_entry& job) {
-  int tasks = 0;
-  for (const auto& [position, unit] : job.units) {
-    const bool is_terminated = unit.is_done && unit.members.empty();
-    tasks += unit.run > 0 && !is_terminated ? unit.width : 0;
-  }
-  return tasks;
-}
-
 }  // namespace
 
 // Returns whether the steps before that of the unit are done.
@@ -96,8 +86,8 @@
                                    std::int64_t wall_ms,
                                    job_entry& job,
                                    std::vector<unit_ref>& unplaced) {
-  const bool is_wide_job = job.task_count > kMaxTasksInProgress;
-  int tasks_in_progress = is_wide_job ? TasksInProgress(job) : 0;
+  const bool is_wide_job = job.task_count > job.max_tasks_in_progress;
+  int tasks_in_progress = is_wide_job ? job.TasksInProgress() : 0;
   const std::size_t end = EndOfDue(wall_ms, job);
   auto position = job.waiting_units.NextFrom(0);
   while (position && *position < end) {
@@ -114,7 +104,7 @@
     const bool is_deferred =
         now < unit.not_before ||
         (is_wide_job && !has_run_before && tasks_in_progress > 0 &&
-         tasks_in_progress + width > kMaxTasksInProgress);
+         tasks_in_progress + width > job.max_tasks_in_progress);
     std::size_t next = *position + 1;
     if (!IsStepReady(job, unit) ||
         (!is_deferred && !PlaceOrSkip(now, waiting, unplaced))) {
--- a/src/sched/work_state.h
+++ b/src/sched/work_state.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "sassafras/core/time.h"
+#include "sassafras/sched/job_codec.h"
 #include "sassafras/sched/job_model.h"
 #include "sassafras/sched/minion_orders.h"
 #include "sassafras/sched/placement.h"
@@ -172,6 +173,12 @@
   /// Earliest time of the next write of its record. Urgent jobs and ended jobs
   /// are written at once.
   instant next_write;
+  /// Limit of its tasks in progress; lowered when its record is too large.
+  int max_tasks_in_progress = kMaxTasksInProgress;
+  /// Earliest time of the next write after its record was too large, and the
+  /// change that the store has refused; 0: none.
+  instant record_not_before;
+  std::uint64_t refused_change = 0;
   std::uint64_t record_version = 0;
   std::uint64_t cancel_version = 0;
   instant ended_at;
@@ -246,6 +253,16 @@
     done_units.Insert(RankOf(unit));
   }
 
+  /// Number of tasks that have their own entry in the record.
+  int TasksInProgress() const {
+    int tasks = 0;
+    for (const auto& [position, unit] : units) {
+      const bool is_over = unit.is_done && unit.members.empty();
+      tasks += unit.run > 0 && !is_over ? unit.width : 0;
+    }
+    return tasks;
+  }
+
   /// Whether some unit has reserved capacity.
   bool HoldsRoom() const {
     return CountOf(unit_phase::kClaimed) + CountOf(unit_phase::kRecorded) +
--- a/tests/large_job_test.cc
+++ b/tests/large_job_test.cc
@@ -83,6 +83,14 @@
   return DecodeRecord(HalfDoneRow(occurrences, tasks)).value();
 }
 
+// Gives the minions of the fleet addresses that take `bytes` in each record.
+void LengthenAddresses(fake_fleet& fleet, std::size_t bytes) {
+  for (auto& [id, minion] : fleet.minions) {
+    minion.report.address += std::string(bytes, '0');
+  }
+  fleet.SendMinionList();
+}
+
 std::size_t RecordBytes(const fake_fleet& fleet, const std::string& job) {
   return fleet.table.Read(kRecordTable + job).value.size();
 }
@@ -230,6 +238,64 @@
   CheckNoViolations(fleet);
 }
 
+// Guards against a commit that the store refuses for good and that is sent
+// again and again, so that no job starts any more.
+TEST_CASE("A record that no row holds does not hold up other jobs") {
+  fake_fleet fleet({});
+  const accepted_job small = OneStep("small", 1, 4, kTiny, 100ms);
+
+  SECTION("of a gang: its job is given up, with the reason") {
+    accepted_job gang = OneStep("gang", 1, 3'000, kTiny, 100ms);
+    gang.spec.steps[0].is_gang = true;
+    fleet.Submit(gang);
+    fleet.Submit(small);
+    CHECK(fleet.RunUntilEnded(5s));
+    CHECK(fleet.StateOf("gang") == job_state::kFailed);
+    CHECK(fleet.StateOf("small") == job_state::kComplete);
+    CHECK(fleet.starts["gang"] == 0);
+    CHECK(fleet.counters.Get("sched_records_too_large") == 1);
+    CHECK(fleet.table.refusals == 0);
+  }
+  SECTION("of a wide job: it goes on with fewer tasks at a time") {
+    LengthenAddresses(fleet, 200);
+    fleet.Submit(OneStep("wide", 1, 1'000, kTiny, 100ms));
+    fleet.Submit(small);
+    CHECK(fleet.RunUntilEnded(10s));
+    CHECK(fleet.StateOf("wide") == job_state::kComplete);
+    CHECK(fleet.StateOf("small") == job_state::kComplete);
+    CHECK(fleet.counters.Get("sched_records_too_large") > 0);
+    CHECK(fleet.starts["wide"] == 1'000);
+    CHECK(fleet.table.refusals == 0);
+  }
+  SECTION("since the store takes less than expected") {
+    fleet.table.max_row_bytes = 5'000;
+    fleet.Submit(OneStep("wide", 1, 400, kTiny, 100ms));
+    fleet.Submit(small);
+    CHECK(fleet.RunUntilEnded(20s));
+    CHECK(fleet.StateOf("wide") == job_state::kComplete);
+    CHECK(fleet.StateOf("small") == job_state::kComplete);
+    CHECK(fleet.counters.Get("sched_records_refused") > 0);
+    CHECK(fleet.starts["wide"] == 400);
+    CHECK(fleet.table.refusals < 20);
+  }
+  CheckNoViolations(fleet);
+}
+
+// Guards against commits of many records that exceed what the store takes in
+// one call.
+TEST_CASE("The records of one commit fit in a call of the store") {
+  fake_fleet fleet({});
+  LengthenAddresses(fleet, 40);
+  constexpr int kJobs = 25;
+  for (int number = 0; number < kJobs; ++number) {
+    fleet.Submit(
+        OneStep("wide-" + std::to_string(number), 1, 480, {10, 10, 0}, 2s));
+  }
+  CHECK(fleet.RunUntilEnded(20s));
+  CHECK(fleet.table.refusals == 0);
+  CheckNoViolations(fleet);
+}
+
 // Guards against an owner that does nothing but load for longer than its lease
 // lasts.
 TEST_CASE("The lease is renewed while many jobs are loaded") {
