Refuse a job that the store cannot keep at once

What callers saw: a submission whose row exceeds 64 KB was answered with 503 and Retry-After, which no repetition can help; a gang of more tasks than one record can name was accepted and could never start.

Cause: whether the store can hold a job was first known from its refusal, which said nothing of the reason.

Change: a submission is refused with 413 before anything is written, if its row has more than 64 KB or if a gang has more than 1,927 tasks: the record takes 34 bytes a task at least. A gang below that whose record turns out to be too large is still ended by its owner, since the names of its minions are not known before. Counter submission_not_storable.

"Not run" is true of it: nothing is stored.

Test (large_job_test): "A job that the store cannot keep is refused at once", three sections, with a store that takes 64 KB a row.

--- a/include/sassafras/sched/job_codec.h
+++ b/include/sassafras/sched/job_codec.h
@@ -62,6 +62,17 @@
   bool IsAccepted() const { return kind == job_row_kind::kAccepted; }
 };
 
+/// Greatest number of bytes of a job's row and of its record.
+inline constexpr std::size_t kMaxRowBytes = 65'536;
+
+/// Bytes that a record takes for each task of a gang, at least.
+inline constexpr int kMinMemberBytes = 34;
+
+/// Describes why the store cannot keep a job whose row has `row_bytes`: the row
+/// is too large, or the record of a gang would be. Empty if neither is known.
+std::optional<std::string> FindStorageFault(const job_spec& spec,
+                                            std::size_t row_bytes);
+
 /// Returns the name of `kind`, which marks the rows of tombstones.
 std::string_view GetName(job_row_kind kind);
 
@@ -117,9 +128,6 @@
   std::vector<recorded_unit> units;  ///< Others that ran at least once.
 };
 
-/// Greatest number of bytes of a record: of a row of the store.
-inline constexpr std::size_t kMaxRecordBytes = 65'536;
-
 /// Limit of tasks of one job that have started and are not done. The record of
 /// each takes up to 120 bytes.
 inline constexpr int kMaxTasksInProgress = 480;
--- a/programs/entry/caller_service.cc
+++ b/programs/entry/caller_service.cc
@@ -294,11 +294,17 @@
   job.stretch = queue.stretch;
   job.target = queue.target;
   job.spec = std::move(spec.value());
+  const auto acceptance = std::make_shared<sched::acceptance>(job);
+  const table_transaction first_write = acceptance->Begin();
+  if (const auto fault =
+          sched::FindStorageFault(job.spec, first_write.front().value.size())) {
+    deps_.counters.Add("submission_not_storable");
+    answer(MakeRefusal(error_kind::kTooLarge, *fault));
+    return;
+  }
   if (RefuseIfWaitTooLong(job, answer)) {
     return;
   }
-  const auto acceptance = std::make_shared<sched::acceptance>(std::move(job));
-  const table_transaction first_write = acceptance->Begin();
   CommitAcceptance(acceptance, first_write, id, answer);
 }
 
--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -261,6 +261,23 @@
   }
 }
 
+std::optional<std::string> FindStorageFault(const job_spec& spec,
+                                            std::size_t row_bytes) {
+  if (row_bytes > kMaxRowBytes) {
+    return "the job takes " + std::to_string(row_bytes) + " bytes, at most " +
+           std::to_string(kMaxRowBytes) + " are kept of one";
+  }
+  constexpr int kMaxGangTasks =
+      static_cast<int>(kMaxRowBytes) / kMinMemberBytes;
+  for (const step_spec& step : spec.steps) {
+    if (step.is_gang && step.count > kMaxGangTasks) {
+      return "a gang has " + std::to_string(step.count) + " tasks, at most " +
+             std::to_string(kMaxGangTasks) + " can run together";
+    }
+  }
+  return std::nullopt;
+}
+
 std::string JobPartPrefix(int part) {
   return std::string(kJobTableName) + ":" + std::to_string(part) + "/";
 }
--- a/src/sched/work_records.cc
+++ b/src/sched/work_records.cc
@@ -160,12 +160,12 @@
     instant now,
     job_entry& job) {
   std::string record = EncodeRecord(RecordOf(job));
-  if (record.size() > kMaxRecordBytes) {
+  if (record.size() > kMaxRowBytes) {
     counters_.Add("sched_records_too_large");
     LowerRecord(now, job, std::to_string(record.size()) + " bytes");
     record = EncodeRecord(RecordOf(job));
   }
-  if (record.size() > kMaxRecordBytes) {
+  if (record.size() > kMaxRowBytes) {
     job.record_not_before = now + kLargeRecordDelay;
     return std::nullopt;
   }
--- a/tests/job_record_test.cc
+++ b/tests/job_record_test.cc
@@ -84,7 +84,7 @@
       }
       record.units.push_back(wide);
     }
-    CHECK(EncodeRecord(record).size() <= kMaxRecordBytes);
+    CHECK(EncodeRecord(record).size() <= kMaxRowBytes);
   }
 }
 
--- a/tests/large_job_test.cc
+++ b/tests/large_job_test.cc
@@ -8,6 +8,7 @@
 #include <ctime>
 #include <memory>
 #include <new>
+#include <optional>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -16,6 +17,7 @@
 #include "sassafras/sched/work_core.h"
 #include "tests/fleet_checks.h"
 #include "tests/owner_world.h"
+#include "tests/service_world.h"
 
 namespace {
 
@@ -281,6 +283,41 @@
   CheckNoViolations(fleet);
 }
 
+// Guards against a job that is accepted although no row can hold its record,
+// and against a submission that is refused as if it were worth another try.
+TEST_CASE("A job that the store cannot keep is refused at once") {
+  service_world world;
+  std::optional<caller_answer> answered;
+  world.adapter.encode_answer = [&](const caller_answer& answer) {
+    answered = answer;
+    return http_response();
+  };
+  const auto submit = [&](const std::string& payload, int gang) {
+    world.adapter.decode_job = [gang](const std::string& body) {
+      job_spec spec = OneStep("", 0, gang, kTiny, 1s).spec;
+      spec.steps[0].is_gang = true;
+      spec.payload = body;
+      return result<job_spec>(spec);
+    };
+    world.BeginCall("POST", "", payload, [](int) {});
+    return answered.value().failure;
+  };
+
+  SECTION("since its row would be too large") {
+    CHECK(submit(std::string(kMaxRowBytes, 'x'), 1) == error_kind::kTooLarge);
+    CHECK(world.table.rows.size() == 1);  // The configuration.
+  }
+  SECTION("since its gang has too many tasks for one record") {
+    CHECK(submit("", 2'000) == error_kind::kTooLarge);
+    CHECK(world.table.rows.size() == 1);
+  }
+  SECTION("but not a large one that fits") {
+    CHECK_FALSE(submit(std::string(kMaxRowBytes / 2, 'x'), 1'000));
+    CHECK(world.table.rows.size() == 2);
+  }
+  CHECK(world.table.refusals == 0);
+}
+
 // Guards against commits of many records that exceed what the store takes in
 // one call.
 TEST_CASE("The records of one commit fit in a call of the store") {
