Measure what one job costs its owner

Nothing showed how memory, record, loading and decisions grow with the tasks of a job. sassafras-bench job-cost measures the four for 1,000 to 100,000 tasks, to come, half done with 400 under way, and nearly done.

--- a/bench/main.cc
+++ b/bench/main.cc
@@ -7,6 +7,7 @@
 #include "bench/bench_options.h"
 #include "bench/capacity_bench.h"
 #include "bench/config_bench.h"
+#include "bench/job_cost_bench.h"
 #include "bench/owner_bench.h"
 #include "bench/policy_bench.h"
 #include "bench/request_bench.h"
@@ -30,6 +31,8 @@
       {"capacity", "state, messages and cost by size", RunCapacityBench},
       {"owner", "decisions on the users' platform, by number of minions",
        RunOwnerBench},
+      {"job-cost", "what one job costs its owner, by its tasks",
+       RunJobCostBench},
       {"policy", "placement of jobs, in virtual time", RunPolicyBench},
       {"config", "configuration, membership and leases, in virtual time",
        RunConfigBench},
