Prove that decisions wait for the last loaded row

Cause: "Nothing is decided before all jobs are loaded" passed without the rule that it stands for: no minion was polled before the job was loaded whose runs could be taken for strays.

Change: a job with runs on the same minions is loaded first, so that they are polled early. All other checks are as they were.

Result: with are_jobs_loaded_ taken out of DecideNow the test fails: the four sound runs are stopped as strays and started again (8 starts). With it the test passes.

--- a/tests/large_job_test.cc
+++ b/tests/large_job_test.cc
@@ -364,10 +364,15 @@
 TEST_CASE("Nothing is decided before all jobs are loaded") {
   owner_world world;
   world.Run(1s);
+  // The rows of the first one are read before all others, those of the last one
+  // after them. Their runs share minions.
+  const std::string first = "0000000";
   const std::string last = "9999999";
-  world.Submit(last, 4, 60s);
-  world.Run(1s);
-  REQUIRE(world.CountRunning(last) == 4);
+  for (const std::string& job : {first, last}) {
+    world.Submit(job, 4, 60s);
+    world.Run(500ms);
+    REQUIRE(world.CountRunning(job) == 4);
+  }
   for (int number = 0; number < 500; ++number) {
     world.Submit(std::to_string(1'000'000 + number), 1, 60s);
   }
