--- a/src/sched/job_codec.cc
+++ b/src/sched/job_codec.cc
@@ -157,7 +157,7 @@
                       json::array({done.last_occurrence, done.last_index})});
 }
 
-done_units ToDone(const json& range) {
+done_units ToRange(const json& range) {
   done_units done;
   if (range.at(1).is_array()) {
     done.step = range.at(0);
@@ -344,7 +344,7 @@
     }
     record.state = static_cast<job_state>(state);
     for (const json& range : document.value("done", json::array())) {
-      record.done.push_back(ToDone(range));
+      record.done.push_back(ToRange(range));
     }
     for (const json& unit : document.at("units")) {
       record.units.push_back(ToUnit(unit));
